--- /dev/null
+++ b/crates/caperworks/src/dispatch.rs
@@ -0,0 +1,692 @@
+//! An order's way through the proxy: its state chart, the choice of an instance, and the budgets.
+
+use crate::prelude::*;
+
+/// Which part of a pool's first shots may be followed by another shot.
+pub const RETRY_PERCENT: u32 = 15;
+/// How many further shots each proxy has per window whatever the traffic; twelve proxies share
+/// the "few dozen" of the brief.
+pub const RETRY_FLOOR: u32 = 2;
+const RETRY_WINDOW: usize = 10;
+/// How many mishaps in a row put an instance aside.
+const MISHAPS_TO_EJECT: u32 = 5;
+const EJECT_SPAN: Duration = Duration::from_secs(2);
+const EJECT_MOST: Duration = Duration::from_secs(16);
+
+/// The named states of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderState {
+    Received,
+    Matched,
+    Admitted,
+    Chosen,
+    Shooting,
+    Sent,
+    Answering,
+    Done,
+    Refused,
+    Unknown,
+}
+
+/// Why an order was refused or lost; the answer's status follows from it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mishap {
+    NoRule,
+    Stale,
+    AreaClosed,
+    OutsideHome,
+    NoInstance,
+    NoOwner,
+    BodyTooLarge,
+    BadFraming,
+    MissingKey,
+    LateBeforeSending,
+    NotOpened,
+    InstanceRefused,
+    Leaving,
+    LostAfterSending,
+    LateAfterSending,
+    Garbage,
+}
+
+/// What the caller is told of whether the order ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Told {
+    NotRun,
+    Unknown,
+}
+
+impl Mishap {
+    pub fn told(self) -> Told {
+        match self {
+            Mishap::LostAfterSending | Mishap::LateAfterSending | Mishap::Garbage => Told::Unknown,
+            _ => Told::NotRun,
+        }
+    }
+
+    pub fn status(self) -> u16 {
+        match self {
+            Mishap::NoRule => 404,
+            Mishap::BodyTooLarge => 413,
+            Mishap::BadFraming | Mishap::MissingKey => 400,
+            Mishap::LateAfterSending => 504,
+            Mishap::LostAfterSending | Mishap::Garbage => 502,
+            _ => 503,
+        }
+    }
+
+    /// When to come back, for those that may be tried again with hope.
+    pub fn retry_after(self) -> Option<Duration> {
+        match self {
+            Mishap::NoRule | Mishap::BodyTooLarge | Mishap::BadFraming | Mishap::MissingKey => None,
+            Mishap::AreaClosed | Mishap::Stale | Mishap::Leaving => Some(Duration::from_secs(2)),
+            _ => Some(Duration::from_secs(1)),
+        }
+    }
+
+    pub fn word(self) -> &'static str {
+        match self {
+            Mishap::NoRule => "no rule matches",
+            Mishap::Stale => "this proxy has lost touch with the core",
+            Mishap::AreaClosed => "this area is closed",
+            Mishap::OutsideHome => "the rule is bound to another region",
+            Mishap::NoInstance => "no instance is free",
+            Mishap::NoOwner => "no instance owns the key just now",
+            Mishap::BodyTooLarge => "the body is over the rule's limit",
+            Mishap::BadFraming => "the framing is malformed or ambiguous",
+            Mishap::MissingKey => "the header with the key is missing",
+            Mishap::LateBeforeSending => "the deadline passed before anything was sent",
+            Mishap::NotOpened => "no circuit to an instance could be opened",
+            Mishap::InstanceRefused => "the instance refused and ran nothing",
+            Mishap::Leaving => "this proxy is about to stop",
+            Mishap::LostAfterSending => "the circuit was lost after sending",
+            Mishap::LateAfterSending => "the deadline passed after sending",
+            Mishap::Garbage => "the instance's answer was malformed",
+        }
+    }
+}
+
+/// How one shot at an instance ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ShotEnd {
+    /// No byte can have left.
+    NotOpened,
+    /// The instance said itself that it ran nothing.
+    RefusedByInstance,
+    Lost,
+    Late,
+    Garbage,
+    Answered,
+}
+
+/// What the chart wants next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NextStep {
+    /// Choose an instance again and shoot.
+    ShootAgain,
+    PassOn,
+    Answer(Mishap),
+}
+
+/// One order's state chart.
+#[derive(Debug, Clone)]
+pub struct OrderChart {
+    state: OrderState,
+    /// Why it matters: a read may be shot again, all else only when provably nothing ran.
+    read: bool,
+    /// Whether the body can be sent a second time.
+    replayable: bool,
+    shots: u32,
+    deadline: Duration,
+    /// A shot of this order may have run and its answer is not known.
+    doubt: bool,
+}
+
+/// How often one order may be shot at most.
+const MOST_SHOTS: u32 = 3;
+
+impl OrderChart {
+    pub fn received(read: bool) -> Self {
+        Self {
+            state: OrderState::Received,
+            read,
+            replayable: true,
+            shots: 0,
+            deadline: Duration::ZERO,
+            doubt: false,
+        }
+    }
+
+    /// What the caller may be told: never "not run" once a shot is in doubt.
+    pub fn told(&self, mishap: Mishap) -> Told {
+        if self.doubt {
+            Told::Unknown
+        } else {
+            mishap.told()
+        }
+    }
+
+    pub fn state(&self) -> OrderState {
+        self.state
+    }
+
+    pub fn shots(&self) -> u32 {
+        self.shots
+    }
+
+    pub fn deadline(&self) -> Duration {
+        self.deadline
+    }
+
+    /// A rule was found; the deadline counts from here.
+    pub fn matched(&mut self, now: Duration, rule: &Rule) {
+        self.state = OrderState::Matched;
+        self.deadline = now + rule.deadline;
+    }
+
+    pub fn admitted(&mut self, replayable: bool) {
+        self.state = OrderState::Admitted;
+        self.replayable = replayable;
+    }
+
+    pub fn chosen(&mut self) {
+        self.state = OrderState::Chosen;
+    }
+
+    /// The last check before the first byte held; from here on bytes may leave.
+    pub fn shooting(&mut self) {
+        self.state = OrderState::Shooting;
+        self.shots += 1;
+    }
+
+    pub fn sent(&mut self) {
+        self.state = OrderState::Sent;
+    }
+
+    pub fn done(&mut self) {
+        self.state = OrderState::Done;
+    }
+
+    pub fn refuse(&mut self, mishap: Mishap) -> NextStep {
+        self.state = match self.told(mishap) {
+            Told::NotRun => OrderState::Refused,
+            Told::Unknown => OrderState::Unknown,
+        };
+        NextStep::Answer(mishap)
+    }
+
+    /// What follows the end of a shot; `again` asks the budget and is asked only when it counts.
+    pub fn shot_ended(
+        &mut self,
+        now: Duration,
+        end: ShotEnd,
+        again: impl FnOnce() -> bool,
+    ) -> NextStep {
+        let nothing_ran = match end {
+            ShotEnd::Answered => {
+                self.state = OrderState::Answering;
+                return NextStep::PassOn;
+            }
+            ShotEnd::NotOpened | ShotEnd::RefusedByInstance => true,
+            ShotEnd::Lost | ShotEnd::Late | ShotEnd::Garbage => false,
+        };
+        self.doubt |= !nothing_ran;
+        let may = (nothing_ran || self.read)
+            && self.replayable
+            && self.shots < MOST_SHOTS
+            && end != ShotEnd::Late
+            && now < self.deadline;
+        if may && again() {
+            self.state = OrderState::Admitted;
+            return NextStep::ShootAgain;
+        }
+        let mishap = match end {
+            ShotEnd::NotOpened => Mishap::NotOpened,
+            ShotEnd::RefusedByInstance => Mishap::InstanceRefused,
+            ShotEnd::Late => Mishap::LateAfterSending,
+            ShotEnd::Garbage => Mishap::Garbage,
+            ShotEnd::Lost | ShotEnd::Answered => Mishap::LostAfterSending,
+        };
+        self.refuse(mishap)
+    }
+}
+
+/// Counts first and further shots over a sliding window of seconds.
+#[derive(Debug, Clone, Default)]
+pub struct RetryBudget {
+    seconds: VecDeque<(u64, u32, u32)>,
+}
+
+impl RetryBudget {
+    fn roll(&mut self, now: Duration) -> &mut (u64, u32, u32) {
+        let second = now.as_secs();
+        if self.seconds.back().is_none_or(|last| last.0 != second) {
+            self.seconds.push_back((second, 0, 0));
+        }
+        let oldest = second.saturating_sub(RETRY_WINDOW as u64 - 1);
+        while self.seconds.front().is_some_and(|first| first.0 < oldest) {
+            self.seconds.pop_front();
+        }
+        let place = self.seconds.len() - 1;
+        &mut self.seconds[place]
+    }
+
+    pub fn first_shot(&mut self, now: Duration) {
+        self.roll(now).1 += 1;
+    }
+
+    /// Takes one further shot from the budget if there is one.
+    pub fn take(&mut self, now: Duration) -> bool {
+        self.roll(now);
+        let first: u32 = self.seconds.iter().map(|second| second.1).sum();
+        let further: u32 = self.seconds.iter().map(|second| second.2).sum();
+        let allowed = first * RETRY_PERCENT / 100 + RETRY_FLOOR;
+        if further >= allowed {
+            return false;
+        }
+        self.roll(now).2 += 1;
+        true
+    }
+}
+
+/// A bucket that starts empty, so that many proxies together cannot begin with a burst.
+#[derive(Debug, Clone, Default)]
+struct GentleBucket {
+    tokens: f64,
+    filled_at: Duration,
+}
+
+impl GentleBucket {
+    fn fill(&mut self, now: Duration, per_second: f64) {
+        let span = now.saturating_sub(self.filled_at).as_secs_f64();
+        self.tokens = (self.tokens + span * per_second).min(1.0);
+        self.filled_at = now;
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+struct InstanceWatch {
+    incarnation: Incarnation,
+    under_way: u32,
+    reported: u32,
+    mishaps: u32,
+    ejections: u32,
+    ejected_until: Duration,
+    gentle: Option<GentleBucket>,
+}
+
+/// The target of one shot.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Target {
+    pub instance: InstanceId,
+    pub incarnation: Incarnation,
+    pub address: SocketAddr,
+    pub area: Area,
+    pub slice: Option<(u32, Epoch)>,
+    pub key: Option<u64>,
+}
+
+/// What a proxy knows of the world, as its agent last told it.
+#[derive(Debug, Clone, Default)]
+pub struct ProxyKnowledge {
+    pub fresh_until: Duration,
+    pub books: Follower,
+    pub table: RuleTable,
+    pub instances: BTreeMap<InstanceId, Beat>,
+    pub by_pool: HashMap<PoolName, Vec<InstanceId>>,
+    pub closed: BTreeSet<Area>,
+    pub regions: BTreeMap<Area, Region>,
+    pub proxies: u32,
+}
+
+impl ProxyKnowledge {
+    /// Takes what the agent told in answer to a question asked at `asked_at`.
+    pub fn take(&mut self, asked_at: Duration, view: &ProxyView) {
+        for news in &view.news {
+            if self.books.take(news) == Some(BookName::Standing) {
+                let standing = self.books.book(BookName::Standing);
+                self.table = RuleTable::of(standing);
+                self.closed = standing
+                    .areas()
+                    .filter(|(_, order)| order.closed)
+                    .map(|(area, _)| area)
+                    .collect();
+                self.regions = standing
+                    .areas()
+                    .map(|(area, order)| (area, order.region.clone()))
+                    .collect();
+            }
+        }
+        self.by_pool.clear();
+        for beat in &view.instances {
+            self.by_pool
+                .entry(beat.pool.clone())
+                .or_default()
+                .push(beat.id.clone());
+        }
+        self.instances = view
+            .instances
+            .iter()
+            .map(|beat| (beat.id.clone(), beat.clone()))
+            .collect();
+        self.proxies = view.proxies.max(1);
+        // Why both books: being fresh means acting on at least what the agent held when it said so.
+        let caught_up = self.books.book(BookName::Standing).edition >= view.standing
+            && self.books.book(BookName::Tenure).edition >= view.tenure;
+        if caught_up {
+            self.fresh_until = self.fresh_until.max(asked_at + view.left);
+        }
+    }
+
+    pub fn pool(&self, name: &PoolName) -> Option<&Pool> {
+        match &self.books.book(BookName::Standing).items.get(&format!("pool/{name}"))?.value {
+            Value::Pool { pool } => Some(pool),
+            _ => None,
+        }
+    }
+
+    /// Whether this proxy may carry anything for the rule now.
+    pub fn admits(&self, now: Duration, own_area: &Area, rule: &Rule) -> Result<(), Mishap> {
+        if now >= self.fresh_until {
+            return Err(Mishap::Stale);
+        }
+        if self.closed.contains(own_area) {
+            return Err(Mishap::AreaClosed);
+        }
+        match &rule.home {
+            Some(home) if self.regions.get(own_area) != Some(home) => Err(Mishap::OutsideHome),
+            _ => Ok(()),
+        }
+    }
+
+    /// The last check, at the last moment before the first byte.
+    pub fn still_good(
+        &self,
+        now: Duration,
+        own_area: &Area,
+        rule: &Rule,
+        target: &Target,
+    ) -> Result<(), Mishap> {
+        self.admits(now, own_area, rule)?;
+        let lives = self.instances.get(&target.instance).is_some_and(|beat| {
+            beat.incarnation == target.incarnation
+                && beat.address == target.address
+                && beat.state != InstanceState::Leaving
+        });
+        if !lives || self.closed.contains(&target.area) {
+            return Err(Mishap::NoInstance);
+        }
+        if let Some((slice, epoch)) = target.slice {
+            let holds = self
+                .books
+                .book(BookName::Tenure)
+                .slices(&rule.pool)
+                .and_then(|table| table.owners.get(slice as usize)?.as_ref())
+                .is_some_and(|owner| owner.epoch == epoch && owner.instance == target.instance);
+            if !holds {
+                return Err(Mishap::NoOwner);
+            }
+        }
+        Ok(())
+    }
+}
+
+/// One pool as one proxy sees it: a shard with its own lock in the daemon.
+#[derive(Debug, Clone)]
+pub struct PoolShard {
+    watches: HashMap<InstanceId, InstanceWatch>,
+    keys: HashMap<u64, u32>,
+    budget: RetryBudget,
+    chance: Chance,
+}
+
+impl PoolShard {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            watches: HashMap::new(),
+            keys: HashMap::new(),
+            budget: RetryBudget::default(),
+            chance: Chance::seeded(seed),
+        }
+    }
+
+    pub fn first_shot(&mut self, now: Duration) {
+        self.budget.first_shot(now);
+    }
+
+    pub fn take_retry(&mut self, now: Duration) -> bool {
+        self.budget.take(now)
+    }
+
+    /// Makes a watch for a beat, anew when the instance lives another life.
+    fn watch(&mut self, beat: &Beat) -> &mut InstanceWatch {
+        let watch = self.watches.entry(beat.id.clone()).or_default();
+        if watch.incarnation != beat.incarnation {
+            *watch = InstanceWatch {
+                incarnation: beat.incarnation,
+                ..InstanceWatch::default()
+            };
+        }
+        watch
+    }
+
+    /// Forgets the instances that are gone.
+    pub fn keep_only(&mut self, instances: &BTreeMap<InstanceId, Beat>) {
+        self.watches.retain(|id, _| instances.contains_key(id));
+    }
+
+    /// Whether the instance may take one more, leaving the gentle rate aside.
+    fn has_room(&mut self, now: Duration, beat: &Beat, cap: u32) -> bool {
+        let watch = self.watch(beat);
+        watch.under_way < cap && now >= watch.ejected_until
+    }
+
+    /// Whether the gentle rate lets a cold instance take one now.
+    fn gentle_lets(&mut self, now: Duration, beat: &Beat, pool: &Pool, proxies: u32) -> bool {
+        // Why divided: the rate is the instance's, however many proxies there are.
+        let rate = f64::from(pool.gentle_per_second) / f64::from(proxies.max(1));
+        let watch = self.watch(beat);
+        if !beat.is_cold(pool.warm_span) {
+            watch.gentle = None;
+            return true;
+        }
+        let bucket = watch.gentle.get_or_insert(GentleBucket {
+            tokens: 0.0,
+            filled_at: now,
+        });
+        bucket.fill(now, rate);
+        bucket.tokens >= 1.0
+    }
+
+    fn weight(&mut self, beat: &Beat) -> f64 {
+        let watch = self.watch(beat);
+        let load = f64::from(watch.under_way) + f64::from(watch.reported.max(beat.load));
+        load / f64::from(beat.capacity.max(1))
+    }
+
+    /// Chooses an instance: same area first, then the region, and never beyond a home region.
+    pub fn choose(
+        &mut self,
+        now: Duration,
+        knowledge: &ProxyKnowledge,
+        own_area: &Area,
+        rule: &Rule,
+        key: Option<&str>,
+        tried: &[InstanceId],
+    ) -> Result<Target, Mishap> {
+        let pool = knowledge.pool(&rule.pool).ok_or(Mishap::NoInstance)?;
+        if pool.keyed {
+            return self.choose_owner(now, knowledge, rule, pool, key);
+        }
+        let own_region = knowledge.regions.get(own_area);
+        let ids = knowledge.by_pool.get(&rule.pool).ok_or(Mishap::NoInstance)?;
+        let mut tiers: [Vec<&Beat>; 3] = [Vec::new(), Vec::new(), Vec::new()];
+        let mut ejected = 0;
+        for beat in ids.iter().filter_map(|id| knowledge.instances.get(id)) {
+            let region = knowledge.regions.get(&beat.area);
+            let outside = rule.home.is_some() && region != rule.home.as_ref();
+            if beat.state == InstanceState::Leaving
+                || outside
+                || knowledge.closed.contains(&beat.area)
+                || tried.contains(&beat.id)
+            {
+                continue;
+            }
+            if now < self.watch(beat).ejected_until {
+                ejected += 1;
+            }
+            let tier = if beat.area == *own_area {
+                0
+            } else if region == own_region {
+                1
+            } else {
+                2
+            };
+            tiers[tier].push(beat);
+        }
+        let known: usize = tiers.iter().map(Vec::len).sum();
+        // Why bounded: when more than half are put aside, the mishaps say more of the way there
+        // than of the instances, and the rest would be sunk by all the load.
+        if ejected * 2 > known {
+            for beat in tiers.iter().flatten() {
+                self.watch(beat).ejected_until = Duration::ZERO;
+            }
+        }
+        for tier in &tiers {
+            let mut free: Vec<&Beat> = Vec::with_capacity(tier.len());
+            let mut cold: Vec<&Beat> = Vec::new();
+            for beat in tier {
+                if !self.has_room(now, beat, pool.instance_cap) {
+                    continue;
+                }
+                if beat.is_cold(pool.warm_span) {
+                    if self.gentle_lets(now, beat, pool, knowledge.proxies) {
+                        cold.push(beat);
+                    }
+                } else {
+                    free.push(beat);
+                }
+            }
+            // Why the cold first when their turn has come: it comes seldom, and a cold instance
+            // that is never chosen never warms.
+            let pick = if let Some(beat) = cold.first() {
+                Some(*beat)
+            } else if free.is_empty() {
+                None
+            } else {
+                let first = free[self.chance.below(free.len() as u64) as usize];
+                let second = free[self.chance.below(free.len() as u64) as usize];
+                if self.weight(first) <= self.weight(second) {
+                    Some(first)
+                } else {
+                    Some(second)
+                }
+            };
+            if let Some(beat) = pick {
+                return Ok(target_of(beat, None, None));
+            }
+        }
+        Err(Mishap::NoInstance)
+    }
+
+    fn choose_owner(
+        &mut self,
+        now: Duration,
+        knowledge: &ProxyKnowledge,
+        rule: &Rule,
+        pool: &Pool,
+        key: Option<&str>,
+    ) -> Result<Target, Mishap> {
+        let key = key.ok_or(Mishap::MissingKey)?;
+        let slice = slice_of(key, pool.slices);
+        let owner = knowledge
+            .books
+            .book(BookName::Tenure)
+            .slices(&rule.pool)
+            .and_then(|table| table.owners.get(slice as usize)?.as_ref())
+            .ok_or(Mishap::NoOwner)?;
+        let beat = knowledge
+            .instances
+            .get(&owner.instance)
+            .filter(|beat| beat.incarnation == owner.incarnation)
+            .filter(|beat| beat.state != InstanceState::Leaving)
+            .filter(|beat| !knowledge.closed.contains(&beat.area))
+            .filter(|beat| {
+                rule.home.is_none() || knowledge.regions.get(&beat.area) == rule.home.as_ref()
+            })
+            .ok_or(Mishap::NoOwner)?;
+        let key = steady_hash(key);
+        // Why a cap per key: one hot key must not take all of its owner's room from the others.
+        let hot = self.keys.get(&key).copied().unwrap_or(0) >= pool.key_cap;
+        if hot
+            || !self.has_room(now, beat, pool.instance_cap)
+            || !self.gentle_lets(now, beat, pool, knowledge.proxies)
+        {
+            return Err(Mishap::NoInstance);
+        }
+        Ok(target_of(beat, Some((slice, owner.epoch)), Some(key)))
+    }
+
+    /// A shot at the target begins. `cold` spends a token of the gentle rate.
+    pub fn begin(&mut self, target: &Target) {
+        if let Some(watch) = self
+            .watches
+            .get_mut(&target.instance)
+            .filter(|watch| watch.incarnation == target.incarnation)
+        {
+            watch.under_way += 1;
+            if let Some(bucket) = &mut watch.gentle {
+                bucket.tokens -= 1.0;
+            }
+        }
+        if let Some(key) = target.key {
+            *self.keys.entry(key).or_default() += 1;
+        }
+    }
+
+    /// The shot is over; `load` is what the instance reported with its answer.
+    pub fn end(&mut self, now: Duration, target: &Target, good: bool, load: Option<u32>) {
+        if let Some(key) = target.key {
+            if let Some(count) = self.keys.get_mut(&key) {
+                *count = count.saturating_sub(1);
+                if *count == 0 {
+                    self.keys.remove(&key);
+                }
+            }
+        }
+        let Some(watch) = self
+            .watches
+            .get_mut(&target.instance)
+            .filter(|watch| watch.incarnation == target.incarnation)
+        else {
+            return;
+        };
+        watch.under_way = watch.under_way.saturating_sub(1);
+        if let Some(load) = load {
+            watch.reported = load;
+        }
+        if good {
+            watch.mishaps = 0;
+            watch.ejections = 0;
+            return;
+        }
+        watch.mishaps += 1;
+        if watch.mishaps >= MISHAPS_TO_EJECT {
+            let span = EJECT_SPAN * 2_u32.pow(watch.ejections.min(3));
+            watch.ejected_until = now + span.min(EJECT_MOST);
+            watch.ejections += 1;
+            watch.mishaps = 0;
+        }
+    }
+}
+
+fn target_of(beat: &Beat, slice: Option<(u32, Epoch)>, key: Option<u64>) -> Target {
+    Target {
+        instance: beat.id.clone(),
+        incarnation: beat.incarnation,
+        address: beat.address,
+        area: beat.area.clone(),
+        slice,
+        key,
+    }
+}
--- /dev/null
+++ b/crates/caperworks/src/facts.rs
@@ -0,0 +1,244 @@
+//! Facts: what can be heard again. Copies merge item by item and expire by the receiver's clock.
+
+use crate::prelude::*;
+
+/// An instance not heard of for this long is gone.
+pub const INSTANCE_SPAN: Duration = Duration::from_millis(3000);
+/// A member whose permit was not renewed for this long is no member.
+pub const MEMBER_SPAN: Duration = Duration::from_millis(3000);
+
+messages! {
+    #[derive(Copy, Eq)]
+    enum InstanceState {
+        0 Warming,
+        1 Serving,
+        2 Leaving,
+    }
+
+    /// What an instance says of itself in a beat.
+    struct Beat {
+        0 id: InstanceId,
+        1 incarnation: Incarnation,
+        2 counter: u64,
+        3 pool: PoolName,
+        4 area: Area,
+        5 address: SocketAddr,
+        6 capacity: u32,
+        7 state: InstanceState,
+        8 load: u32,
+        9 up: Duration,
+        10 holding: Vec<u32>,
+    }
+
+    #[derive(Copy, Eq)]
+    enum Role {
+        0 Proxy,
+        1 Directory,
+    }
+
+    struct Demand {
+        0 group: String,
+        1 rule: RuleName,
+        2 orders: u32,
+        3 locality: Duration,
+    }
+
+    /// What a member says of itself when it renews its permit.
+    struct Member {
+        0 node: NodeId,
+        1 counter: u64,
+        2 role: Role,
+        3 area: Area,
+        4 control: SocketAddr,
+        5 serving: SocketAddr,
+        6 ready: bool,
+        7 capacity: u32,
+        8 demand: Vec<Demand>,
+        9 editions: Vec<Edition>,
+    }
+
+    /// A fact on its way between our processes, with the age it had when it left.
+    struct HeardBeat { 0 beat: Beat, 1 age: Duration }
+    struct HeardMember { 0 member: Member, 1 age: Duration }
+}
+
+impl Beat {
+    /// Whether this beat is news next to that one.
+    fn newer_than(&self, other: &Beat) -> bool {
+        (self.incarnation, self.counter) > (other.incarnation, other.counter)
+    }
+
+    /// Why both: an instance may say that it warms up, and one that came back may forget to.
+    pub fn is_cold(&self, warm_span: Duration) -> bool {
+        self.state == InstanceState::Warming || self.up < warm_span
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Kept<Fact> {
+    fact: Fact,
+    heard_at: Duration,
+    learned: u64,
+}
+
+/// The known instances.
+#[derive(Debug, Clone, Default)]
+pub struct Instances {
+    known: BTreeMap<InstanceId, Kept<Beat>>,
+    learned: u64,
+}
+
+impl Instances {
+    /// Merges a beat in; says whether it was news.
+    pub fn hear(&mut self, now: Duration, heard: &HeardBeat) -> bool {
+        let heard_at = now.saturating_sub(heard.age);
+        if now.saturating_sub(heard_at) >= INSTANCE_SPAN {
+            return false;
+        }
+        if let Some(kept) = self.known.get(&heard.beat.id) {
+            if !heard.beat.newer_than(&kept.fact) {
+                return false;
+            }
+        }
+        // Why the other leaves: an address has one instance at a time, and the one that was
+        // heard of last in a new life is the one that answers there now.
+        let address = heard.beat.address;
+        let newcomer = self
+            .known
+            .get(&heard.beat.id)
+            .is_none_or(|kept| kept.fact.incarnation != heard.beat.incarnation
+                || kept.fact.address != address);
+        if newcomer {
+            self.known
+                .retain(|id, kept| *id == heard.beat.id || kept.fact.address != address);
+        } else if self
+            .known
+            .iter()
+            .any(|(id, kept)| *id != heard.beat.id && kept.fact.address == address)
+        {
+            return false;
+        }
+        self.learned += 1;
+        self.known.insert(
+            heard.beat.id.clone(),
+            Kept {
+                fact: heard.beat.clone(),
+                heard_at,
+                learned: self.learned,
+            },
+        );
+        true
+    }
+
+    pub fn expire(&mut self, now: Duration) -> Vec<InstanceId> {
+        let mut gone = Vec::new();
+        self.known.retain(|id, kept| {
+            let lives = now.saturating_sub(kept.heard_at) < INSTANCE_SPAN;
+            if !lives {
+                gone.push(id.clone());
+            }
+            lives
+        });
+        gone
+    }
+
+    pub fn learned(&self) -> u64 {
+        self.learned
+    }
+
+    /// The facts learned after a place, with their present age.
+    pub fn after(&self, now: Duration, place: u64) -> Vec<HeardBeat> {
+        self.known
+            .values()
+            .filter(|kept| kept.learned > place)
+            .map(|kept| HeardBeat {
+                beat: kept.fact.clone(),
+                age: now.saturating_sub(kept.heard_at),
+            })
+            .collect()
+    }
+
+    pub fn get(&self, id: &InstanceId) -> Option<&Beat> {
+        self.known.get(id).map(|kept| &kept.fact)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Beat> {
+        self.known.values().map(|kept| &kept.fact)
+    }
+
+    pub fn with_heard(&self) -> impl Iterator<Item = (&Beat, Duration)> {
+        self.known.values().map(|kept| (&kept.fact, kept.heard_at))
+    }
+}
+
+/// The nodes that hold a permit.
+#[derive(Debug, Clone, Default)]
+pub struct Members {
+    known: BTreeMap<NodeId, Kept<Member>>,
+    learned: u64,
+}
+
+impl Members {
+    pub fn hear(&mut self, now: Duration, heard: &HeardMember) -> bool {
+        let heard_at = now.saturating_sub(heard.age);
+        if now.saturating_sub(heard_at) >= MEMBER_SPAN {
+            return false;
+        }
+        let node = heard.member.node;
+        if let Some(kept) = self.known.get(&node) {
+            if heard.member.counter <= kept.fact.counter {
+                return false;
+            }
+        } else {
+            // Why: a process that started again at the same address is a new node.
+            self.known
+                .retain(|_, kept| kept.fact.control != heard.member.control);
+        }
+        self.learned += 1;
+        self.known.insert(
+            node,
+            Kept {
+                fact: heard.member.clone(),
+                heard_at,
+                learned: self.learned,
+            },
+        );
+        true
+    }
+
+    pub fn expire(&mut self, now: Duration) -> Vec<NodeId> {
+        let mut gone = Vec::new();
+        self.known.retain(|node, kept| {
+            let lives = now.saturating_sub(kept.heard_at) < MEMBER_SPAN;
+            if !lives {
+                gone.push(*node);
+            }
+            lives
+        });
+        gone
+    }
+
+    pub fn learned(&self) -> u64 {
+        self.learned
+    }
+
+    pub fn after(&self, now: Duration, place: u64) -> Vec<HeardMember> {
+        self.known
+            .values()
+            .filter(|kept| kept.learned > place)
+            .map(|kept| HeardMember {
+                member: kept.fact.clone(),
+                age: now.saturating_sub(kept.heard_at),
+            })
+            .collect()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.known.values().map(|kept| &kept.fact)
+    }
+
+    pub fn ready_proxies(&self) -> impl Iterator<Item = &Member> {
+        self.iter()
+            .filter(|member| member.role == Role::Proxy && member.ready)
+    }
+}
--- /dev/null
+++ b/crates/caperworks/src/lib.rs
@@ -0,0 +1,23 @@
+//! Coordination parts for a fleet of many small processes, as state machines without I/O.
+//!
+//! Every machine here takes inputs (a message heard, time passing, a write that was synced)
+//! and returns what to send, write and answer. Time, randomness, disk and network come in from
+//! outside, so the same code runs in the daemons and under the seeded simulator.
+
+#[macro_use]
+mod words;
+
+pub mod agreement;
+pub mod books;
+pub mod dispatch;
+pub mod duty;
+pub mod facts;
+pub mod feed;
+pub mod link;
+pub mod messages;
+pub mod permits;
+pub mod placement;
+pub mod prelude;
+pub mod slots;
+pub mod standing;
+pub mod tenure;
--- /dev/null
+++ b/crates/caperworks/src/link.rs
@@ -0,0 +1,137 @@
+//! A member's link to the core: finds it from the seeds, renews the permit, follows the feed.
+
+use crate::prelude::*;
+
+pub const RENEW_PERIOD: Duration = Duration::from_millis(300);
+/// A ledger that has not answered for this long is left for another.
+const PATIENCE: Duration = Duration::from_millis(800);
+
+#[derive(Debug, Clone)]
+pub struct CoreLink {
+    seeds: Vec<SocketAddr>,
+    ledger: SocketAddr,
+    ledger_node: NodeId,
+    answered_at: Duration,
+    renew_at: Duration,
+    instances_place: u64,
+    members_place: u64,
+    pub shelf: Shelf,
+    pub permit: PermitHolder,
+    pub instances: Instances,
+    pub members: Members,
+}
+
+impl CoreLink {
+    pub fn new(seeds: Vec<SocketAddr>, draw: u64) -> Self {
+        // Why by chance: the members of a whole fleet must not all lean on the first seed.
+        let first = seeds[(draw % seeds.len().max(1) as u64) as usize];
+        Self {
+            seeds,
+            ledger: first,
+            ledger_node: NodeId(0),
+            answered_at: Duration::ZERO,
+            renew_at: Duration::ZERO,
+            instances_place: 0,
+            members_place: 0,
+            shelf: Shelf::default(),
+            permit: PermitHolder::default(),
+            instances: Instances::default(),
+            members: Members::default(),
+        }
+    }
+
+    pub fn ledger(&self) -> SocketAddr {
+        self.ledger
+    }
+
+    pub fn fresh_until(&self) -> Duration {
+        self.permit.fresh_until(self.shelf.follower())
+    }
+
+    pub fn editions(&self) -> Vec<Edition> {
+        self.shelf.follower().editions()
+    }
+
+    /// Every ledger that may answer: those of the cohort, and the seeds.
+    fn candidates(&self) -> Vec<SocketAddr> {
+        let cohort = self.shelf.follower().book(BookName::Cohort);
+        let mut candidates: Vec<SocketAddr> = cohort
+            .seats()
+            .iter()
+            .flat_map(|seats| &seats.holders)
+            .filter(|holder| holder.ledger)
+            .map(|holder| holder.address)
+            .collect();
+        for seed in &self.seeds {
+            if !candidates.contains(seed) {
+                candidates.push(*seed);
+            }
+        }
+        candidates
+    }
+
+    fn turn_to_another(&mut self, now: Duration) {
+        let candidates = self.candidates();
+        let place = candidates.iter().position(|known| *known == self.ledger);
+        let next = place.map_or(0, |place| (place + 1) % candidates.len());
+        self.ledger = candidates[next];
+        self.answered_at = now;
+        self.renew_at = now;
+    }
+
+    /// Whether a renewal is due; a silent ledger is left first.
+    pub fn due(&mut self, now: Duration) -> bool {
+        if now.saturating_sub(self.answered_at) >= PATIENCE {
+            self.turn_to_another(now);
+        }
+        now >= self.renew_at
+    }
+
+    /// The next renewal, and to whom.
+    pub fn renew(&mut self, now: Duration, member: Member) -> (SocketAddr, Message) {
+        self.renew_at = now + RENEW_PERIOD;
+        let renewal = Renewal {
+            number: self.permit.renew(now),
+            member,
+            ledger: self.ledger_node,
+            instances_after: self.instances_place,
+            members_after: self.members_place,
+        };
+        (self.ledger, Message::Renew { renewal })
+    }
+
+    /// Takes a ledger's answer; says which books moved on.
+    pub fn granted(&mut self, now: Duration, from: NodeId, granted: &Granted) -> Vec<BookName> {
+        self.ledger_node = from;
+        self.instances_place = granted.instances_place;
+        self.members_place = granted.members_place;
+        for heard in &granted.instances {
+            self.instances.hear(now, heard);
+        }
+        for heard in &granted.members {
+            self.members.hear(now, heard);
+        }
+        let moved: Vec<BookName> = granted
+            .news
+            .iter()
+            .filter_map(|news| self.shelf.take(news))
+            .collect();
+        if granted.assured {
+            self.answered_at = now;
+            self.permit
+                .granted(granted.number, granted.round_age, granted.editions.clone());
+            if !self.shelf.follower().holds(&granted.editions) {
+                // Why at once: the permit does not count before the news is here.
+                self.renew_at = self.renew_at.min(now + Duration::from_millis(50));
+            }
+        }
+        moved
+    }
+
+    /// Where the tenure keeper hears beats, as far as the cohort tells.
+    pub fn keeper(&self) -> Option<SocketAddr> {
+        let cohort = self.shelf.follower().book(BookName::Cohort);
+        let holder = cohort.duty(TENURE)?.holder;
+        Some(cohort.seats()?.holder(holder)?.address)
+    }
+}
--- /dev/null
+++ b/crates/caperworks/src/messages.rs
@@ -0,0 +1,75 @@
+//! What our processes say to each other.
+
+use crate::prelude::*;
+
+messages! {
+    /// Every message travels with its sender and where the sender hears answers.
+    struct Envelope {
+        0 from: NodeId,
+        1 reply_to: SocketAddr,
+        2 message: Message,
+    }
+
+    #[derive(Eq)]
+    struct Founding {
+        0 attempt: u64,
+        1 seats: Seats,
+    }
+
+    struct Renewal {
+        0 number: u64,
+        1 member: Member,
+        3 ledger: NodeId,
+        4 instances_after: u64,
+        5 members_after: u64,
+    }
+
+    struct Granted {
+        0 number: u64,
+        1 round_age: Duration,
+        2 editions: Vec<Edition>,
+        3 instances: Vec<HeardBeat>,
+        4 instances_place: u64,
+        5 members: Vec<HeardMember>,
+        6 members_place: u64,
+        7 news: Vec<Vote>,
+        8 assured: bool,
+    }
+
+    struct Pull {
+        0 number: u64,
+        1 standing: Edition,
+        2 tenure: Edition,
+        3 serving: SocketAddr,
+        4 ready: bool,
+        5 capacity: u32,
+        6 demand: Vec<Demand>,
+    }
+
+    struct ProxyView {
+        0 number: u64,
+        1 left: Duration,
+        2 news: Vec<Vote>,
+        3 instances: Vec<Beat>,
+        4 proxies: u32,
+        5 standing: Edition,
+        6 tenure: Edition,
+    }
+
+    enum Message {
+        0 Vote { 0 vote: Vote },
+        1 RoundAsk { 0 number: u64 },
+        2 RoundAnswer { 0 number: u64, 1 editions: Vec<Edition> },
+        3 SeedAsk,
+        4 SeedAnswer { 0 area: Area, 1 founded: bool, 2 seats: Option<Seats> },
+        5 FoundAsk { 0 founding: Founding },
+        6 FoundTook { 0 attempt: u64 },
+        7 Facts { 0 instances: Vec<HeardBeat>, 1 members: Vec<HeardMember> },
+        8 Renew { 0 renewal: Renewal },
+        9 Grant { 0 granted: Granted },
+        10 BeatNote { 0 ticket: u64, 1 heard: HeardBeat },
+        11 BeatReply { 0 ticket: u64, 1 answer: BeatAnswer },
+        12 Pull { 0 pull: Pull },
+        13 View { 0 view: ProxyView },
+    }
+}
--- /dev/null
+++ b/crates/caperworks/src/permits.rs
@@ -0,0 +1,147 @@
+//! Permits: leases that a node renews at the core and that nobody can be kept fresh on alone.
+//!
+//! A ledger grants only from a round in which a majority of seats told it their editions. The
+//! span counts from the start of that round, so a ledger that is cut off grants nothing.
+
+use crate::prelude::*;
+
+/// How long a permit lives, counted from the start of the round behind it.
+pub const PERMIT_SPAN: Duration = Duration::from_millis(3000);
+/// What a holder gives up of the span, so that clocks that run apart cannot stretch it.
+pub const DRIFT_MARGIN: Duration = Duration::from_millis(100);
+/// A round older than this is no ground for a new grant.
+pub const ROUND_AGE_LIMIT: Duration = Duration::from_millis(1500);
+
+const OPEN_ROUNDS: usize = 8;
+
+#[derive(Debug, Clone)]
+struct OpenRound {
+    number: u64,
+    started: Duration,
+    answers: BTreeMap<NodeId, Vec<Edition>>,
+}
+
+/// A round that a majority answered.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Round {
+    pub started: Duration,
+    pub editions: Vec<Edition>,
+}
+
+/// The grantor's rounds.
+#[derive(Debug, Clone, Default)]
+pub struct Rounds {
+    number: u64,
+    open: VecDeque<OpenRound>,
+    latest: Option<Round>,
+}
+
+impl Rounds {
+    pub fn begin(&mut self, now: Duration) -> u64 {
+        self.number += 1;
+        self.open.push_back(OpenRound {
+            number: self.number,
+            started: now,
+            answers: BTreeMap::new(),
+        });
+        if self.open.len() > OPEN_ROUNDS {
+            self.open.pop_front();
+        }
+        self.number
+    }
+
+    /// Takes a seat's answer; only seats may be passed in.
+    pub fn answer(&mut self, from: NodeId, number: u64, editions: Vec<Edition>, majority: usize) {
+        let Some(place) = self.open.iter().position(|round| round.number == number) else {
+            return;
+        };
+        let round = &mut self.open[place];
+        round.answers.insert(from, editions);
+        if round.answers.len() < majority {
+            return;
+        }
+        let mut highest = vec![Edition(0); ALL_BOOKS.len()];
+        for editions in round.answers.values() {
+            for (own, heard) in highest.iter_mut().zip(editions) {
+                *own = (*own).max(*heard);
+            }
+        }
+        let complete = Round {
+            started: round.started,
+            editions: highest,
+        };
+        // Why drop the earlier ones: what they could still tell is older than what is known.
+        self.open.drain(..=place);
+        self.latest = Some(complete);
+    }
+
+    pub fn latest(&self, now: Duration) -> Option<&Round> {
+        self.latest
+            .as_ref()
+            .filter(|round| now.saturating_sub(round.started) < ROUND_AGE_LIMIT)
+    }
+
+    /// Whether a majority was heard in a round that began within the permit span.
+    pub fn confirmed(&self, now: Duration) -> Option<&Round> {
+        let span = PERMIT_SPAN - DRIFT_MARGIN;
+        self.latest
+            .as_ref()
+            .filter(|round| now.saturating_sub(round.started) < span)
+    }
+
+    pub fn forget(&mut self) {
+        self.open.clear();
+        self.latest = None;
+    }
+}
+
+#[derive(Debug, Clone)]
+struct HeldGrant {
+    until: Duration,
+    editions: Vec<Edition>,
+}
+
+/// The holder's side of a permit.
+#[derive(Debug, Clone, Default)]
+pub struct PermitHolder {
+    number: u64,
+    sent: VecDeque<(u64, Duration)>,
+    grants: VecDeque<HeldGrant>,
+    /// Only for proving the observers: treats every grant as if its editions were held.
+    pub careless: bool,
+}
+
+impl PermitHolder {
+    pub fn renew(&mut self, now: Duration) -> u64 {
+        self.number += 1;
+        self.sent.push_back((self.number, now));
+        if self.sent.len() > OPEN_ROUNDS {
+            self.sent.pop_front();
+        }
+        self.number
+    }
+
+    pub fn granted(&mut self, number: u64, round_age: Duration, editions: Vec<Edition>) {
+        let Some((_, sent_at)) = self.sent.iter().find(|(sent, _)| *sent == number).copied() else {
+            return;
+        };
+        // Why from our sending: the grantor answered after it, so the round began no earlier than
+        // our sending less the age it told; counting from here can only be too short.
+        let span = PERMIT_SPAN.saturating_sub(DRIFT_MARGIN);
+        let until = (sent_at + span).saturating_sub(round_age);
+        self.grants.push_back(HeldGrant { until, editions });
+        if self.grants.len() > OPEN_ROUNDS {
+            self.grants.pop_front();
+        }
+    }
+
+    /// Until when the holder is fresh, given what its copy of the books holds.
+    pub fn fresh_until(&self, follower: &Follower) -> Duration {
+        self.grants
+            .iter()
+            .filter(|grant| self.careless || follower.holds(&grant.editions))
+            .map(|grant| grant.until)
+            .max()
+            .unwrap_or(Duration::ZERO)
+    }
+}
--- /dev/null
+++ b/crates/caperworks/src/placement.rs
@@ -0,0 +1,542 @@
+//! Placement: which proxy site each group of clients uses, by proposals and rejections.
+//!
+//! After "Lecture 7: Global Load Balancing" (18.996, 2002), sections 7.4.2 to 7.4.6: groups hold
+//! a ranked list of sites that is cut short, propose blocks of units, and a site at capacity
+//! keeps a heap of what it took and rejects the units that suffer least from it.
+
+use crate::prelude::*;
+
+/// How many sites a group ranks.
+pub const LIST_LENGTH: usize = 3;
+/// A group proposes only while at least this fraction of its demand is unassigned.
+pub const EPSILON: f64 = 0.02;
+/// What a site that a group already uses gains in that group's eyes and in its own.
+pub const STABILITY_BONUS: u32 = 2_000;
+/// How far over its capacity a site is filled rather than leave units without a place.
+pub const OVERFLOW_PERCENT: u32 = 130;
+/// How long an answer of the directory is good for.
+pub const ANSWER_LIFETIME: Duration = Duration::from_millis(2000);
+/// How often the solver runs when nothing is lost.
+pub const SOLVE_PERIOD: Duration = Duration::from_millis(2000);
+
+/// A client group with what it asks and how far each site is, nearest first.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ClientGroup {
+    pub group: String,
+    pub rule: RuleName,
+    pub demand: u32,
+    /// Site index and its distance in microseconds, ranked and cut.
+    pub list: Vec<(usize, u32)>,
+    /// The sites of the last mapping.
+    pub last: Vec<usize>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Site {
+    pub area: Area,
+    /// What the proxies there and the instances behind them can carry without spilling.
+    pub capacity: u32,
+    /// What the proxies there can carry when instances of other areas help.
+    pub proxy_capacity: u32,
+}
+
+/// Where the units of one group went: per site, and how many found no place.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Placed {
+    pub units: BTreeMap<usize, u32>,
+    pub unplaced: u32,
+}
+
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Solution {
+    pub placed: Vec<Placed>,
+    pub proposals: usize,
+}
+
+/// One accepted block on a site's heap; the heap's top is the block that loses least.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Block {
+    loss: std::cmp::Reverse<u32>,
+    group: usize,
+    position: usize,
+    units: u32,
+}
+
+/// Ranks the sites for a group and cuts the list.
+///
+/// Why ties go by a hash of both names and not by the site's name alone: many groups that see all
+/// sites alike would else all rank them alike and fill them one after the other.
+pub fn ranked(
+    group: &str,
+    sites: &[Site],
+    last: &[usize],
+    distance: impl Fn(&Area) -> Option<u32>,
+) -> Vec<(usize, u32)> {
+    let mut list: Vec<(u32, u64, usize)> = sites
+        .iter()
+        .enumerate()
+        .filter_map(|(index, site)| {
+            let far = distance(&site.area)?;
+            // Why a bonus: small changes in what is measured must not move clients (7.3.4).
+            let far = if last.contains(&index) {
+                far.saturating_sub(STABILITY_BONUS)
+            } else {
+                far
+            };
+            Some((far, steady_hash(&format!("{group} {}", site.area)), index))
+        })
+        .collect();
+    list.sort();
+    list.truncate(LIST_LENGTH);
+    list.into_iter().map(|(far, _, index)| (index, far)).collect()
+}
+
+/// What a unit of the group at this place of its list loses by being rejected there.
+fn loss(group: &ClientGroup, position: usize) -> u32 {
+    let bonus = if group.last.contains(&group.list[position].0) {
+        STABILITY_BONUS
+    } else {
+        0
+    };
+    match group.list.get(position + 1) {
+        Some((_, next)) => (next - group.list[position].1.min(*next)).saturating_add(bonus),
+        // Why the most: there is nowhere else to go.
+        None => u32::MAX,
+    }
+}
+
+/// Solves one service: batched proposals, rejections from a heap, and an end at ε.
+pub fn solve(groups: &[ClientGroup], sites: &[Site], epsilon: f64) -> Solution {
+    let mut waiting: Vec<Vec<u32>> = groups
+        .iter()
+        .map(|group| {
+            let mut row = vec![0; group.list.len()];
+            if let Some(first) = row.first_mut() {
+                *first = group.demand;
+            }
+            row
+        })
+        .collect();
+    let mut heaps: Vec<BinaryHeap<Block>> = sites.iter().map(|_| BinaryHeap::new()).collect();
+    let mut taken: Vec<u32> = vec![0; sites.len()];
+    let mut queue: VecDeque<usize> = (0..groups.len()).collect();
+    let mut proposals = 0;
+    while let Some(index) = queue.pop_front() {
+        let group = &groups[index];
+        let open: u32 = waiting[index].iter().sum();
+        let threshold = ((f64::from(group.demand) * epsilon).ceil() as u32).max(1);
+        if open < threshold {
+            continue;
+        }
+        // Why the largest block: it is at least the ε part over the list's length, which keeps
+        // the number of proposals within the bound that the source gives.
+        let Some(position) = (0..waiting[index].len())
+            .filter(|position| waiting[index][*position] > 0)
+            .max_by_key(|position| waiting[index][*position])
+        else {
+            continue;
+        };
+        let units = std::mem::take(&mut waiting[index][position]);
+        let site = group.list[position].0;
+        proposals += 1;
+        heaps[site].push(Block {
+            loss: std::cmp::Reverse(loss(group, position)),
+            group: index,
+            position,
+            units,
+        });
+        taken[site] += units;
+        queue.push_back(index);
+        while taken[site] > sites[site].capacity {
+            let Some(mut least) = heaps[site].pop() else {
+                break;
+            };
+            let over = taken[site] - sites[site].capacity;
+            let rejected = over.min(least.units);
+            taken[site] -= rejected;
+            least.units -= rejected;
+            if let Some(next) = waiting[least.group].get_mut(least.position + 1) {
+                *next += rejected;
+                queue.push_back(least.group);
+            }
+            if least.units > 0 {
+                heaps[site].push(least);
+            }
+        }
+    }
+    let mut placed: Vec<Placed> = groups.iter().map(|_| Placed::default()).collect();
+    for (site, heap) in heaps.into_iter().enumerate() {
+        for block in heap {
+            *placed[block.group].units.entry(site).or_default() += block.units;
+        }
+    }
+    for (group, placed) in groups.iter().zip(&mut placed) {
+        placed.unplaced = group.demand - placed.units.values().sum::<u32>();
+    }
+    overflow(groups, sites, &mut taken, &mut placed);
+    Solution { placed, proposals }
+}
+
+/// Finds room for the units that the proposals left over: first where the proxies have room and
+/// instances elsewhere help, then a bounded way over capacity.
+///
+/// Why: after a big loss, being served slowly by a full site is better than not at all; the bound
+/// keeps one site from being sunk by the rest.
+fn overflow(groups: &[ClientGroup], sites: &[Site], taken: &mut [u32], placed: &mut [Placed]) {
+    for percent in [100, OVERFLOW_PERCENT] {
+        for (group, placed) in groups.iter().zip(placed.iter_mut()) {
+            for (site, _) in &group.list {
+                if placed.unplaced == 0 {
+                    break;
+                }
+                let ceiling = u64::from(sites[*site].proxy_capacity) * u64::from(percent) / 100;
+                let room = (ceiling as u32).saturating_sub(taken[*site]);
+                let moved = room.min(placed.unplaced);
+                if moved > 0 {
+                    taken[*site] += moved;
+                    placed.unplaced -= moved;
+                    *placed.units.entry(*site).or_default() += moved;
+                }
+            }
+        }
+    }
+}
+
+/// The group that a client's address falls into.
+pub fn group_of(address: IpAddr) -> String {
+    match address {
+        IpAddr::V4(four) => {
+            let [first, second, third, _] = four.octets();
+            format!("{first}.{second}.{third}.0/24")
+        }
+        IpAddr::V6(six) => {
+            let parts = six.segments();
+            format!("{:x}:{:x}:{:x}::/48", parts[0], parts[1], parts[2])
+        }
+    }
+}
+
+/// The group that stands for all clients that no proxy has seen yet.
+pub const UNSEEN_GROUP: &str = "*";
+
+#[derive(Debug, Clone, Default)]
+struct Measured {
+    /// Orders per second, smoothed.
+    demand: f64,
+    /// Distance in microseconds by area, smoothed.
+    distance: BTreeMap<Area, f64>,
+    seen_at: Duration,
+}
+
+/// How long a group that has gone quiet keeps its place in the problem.
+const QUIET_SPAN: Duration = Duration::from_secs(60);
+/// What a site of the same region is taken to be away when nothing was measured, and one of
+/// another region, in microseconds.
+const UNMEASURED_NEAR: u32 = 3_000;
+const UNMEASURED_FAR: u32 = 50_000;
+
+/// The solver: keeps the problem instance and solves it again and again.
+#[derive(Debug, Clone, Default)]
+pub struct Solver {
+    measured: BTreeMap<(String, RuleName), Measured>,
+    solved_at: Option<Duration>,
+    live_sites: BTreeSet<Area>,
+}
+
+/// What the solver draws its problem from.
+pub struct ProblemView<'view> {
+    pub standing: &'view Book,
+    pub instances: &'view Instances,
+    pub members: &'view Members,
+    pub last: Option<&'view Mapping>,
+}
+
+impl Solver {
+    /// Removes closed, crashed and draining sites, and says what is left of each area: the
+    /// capacity of its ready proxies.
+    fn open_sites(view: &ProblemView<'_>) -> BTreeMap<Area, u32> {
+        let closed: BTreeSet<Area> = view
+            .standing
+            .areas()
+            .filter(|(_, order)| order.closed)
+            .map(|(area, _)| area)
+            .collect();
+        let mut sites: BTreeMap<Area, u32> = BTreeMap::new();
+        for proxy in view.members.ready_proxies() {
+            if !closed.contains(&proxy.area) {
+                *sites.entry(proxy.area.clone()).or_default() += proxy.capacity;
+            }
+        }
+        sites
+    }
+
+    fn take_in(&mut self, now: Duration, view: &ProblemView<'_>) {
+        let mut sums: BTreeMap<(String, RuleName), (u32, BTreeMap<Area, u32>)> = BTreeMap::new();
+        for proxy in view.members.iter().filter(|member| member.role == Role::Proxy) {
+            for demand in &proxy.demand {
+                let entry = sums
+                    .entry((demand.group.clone(), demand.rule.clone()))
+                    .or_default();
+                entry.0 += demand.orders;
+                let micros = demand.locality.as_micros().min(10_000_000) as u32;
+                if micros > 0 {
+                    let nearest = entry.1.entry(proxy.area.clone()).or_insert(micros);
+                    *nearest = (*nearest).min(micros);
+                }
+            }
+        }
+        for (key, measured) in &mut self.measured {
+            if !sums.contains_key(key) {
+                measured.demand *= 0.7;
+            }
+        }
+        for (key, (orders, distances)) in sums {
+            let measured = self.measured.entry(key).or_default();
+            // Why up at once and down slowly: too little room is worse than too much.
+            let heard = f64::from(orders);
+            measured.demand = if heard > measured.demand {
+                heard
+            } else {
+                0.7 * measured.demand + 0.3 * heard
+            };
+            measured.seen_at = now;
+            for (area, micros) in distances {
+                let kept = measured
+                    .distance
+                    .entry(area)
+                    .or_insert(f64::from(micros));
+                *kept = 0.8 * *kept + 0.2 * f64::from(micros);
+            }
+        }
+        self.measured
+            .retain(|_, measured| now.saturating_sub(measured.seen_at) < QUIET_SPAN);
+    }
+
+    /// Solves if the period is over or a site was lost or came back; says the new mapping.
+    pub fn step(&mut self, now: Duration, epoch: Epoch, view: &ProblemView<'_>) -> Option<Mapping> {
+        let open = Self::open_sites(view);
+        let live: BTreeSet<Area> = open.keys().cloned().collect();
+        let due = self
+            .solved_at
+            .is_none_or(|solved| now.saturating_sub(solved) >= SOLVE_PERIOD);
+        if !due && live == self.live_sites {
+            return None;
+        }
+        self.solved_at = Some(now);
+        self.live_sites = live;
+        self.take_in(now, view);
+        Some(Mapping {
+            epoch,
+            groups: self.place(&open, view),
+        })
+    }
+
+    fn place(&self, open: &BTreeMap<Area, u32>, view: &ProblemView<'_>) -> Vec<GroupPlacement> {
+        let regions: BTreeMap<Area, Region> = view
+            .standing
+            .areas()
+            .map(|(area, order)| (area, order.region.clone()))
+            .collect();
+        let mut instance_capacity: BTreeMap<(PoolName, Area), u32> = BTreeMap::new();
+        for beat in view.instances.iter() {
+            if beat.state == InstanceState::Serving {
+                *instance_capacity
+                    .entry((beat.pool.clone(), beat.area.clone()))
+                    .or_default() += beat.capacity;
+            }
+        }
+        let mut by_rule: BTreeMap<RuleName, Vec<(String, u32)>> = view
+            .standing
+            .rules()
+            .map(|(name, _)| (name, vec![(UNSEEN_GROUP.to_string(), 1)]))
+            .collect();
+        for ((group, rule), measured) in &self.measured {
+            if let Some(groups) = by_rule.get_mut(rule) {
+                groups.push((group.clone(), measured.demand.ceil().max(1.0) as u32));
+            }
+        }
+        let total: u64 = by_rule.values().flatten().map(|(_, units)| u64::from(*units)).sum();
+        let last: HashMap<(&str, &RuleName), &GroupPlacement> = view
+            .last
+            .iter()
+            .flat_map(|mapping| &mapping.groups)
+            .map(|placement| ((placement.group.as_str(), &placement.rule), placement))
+            .collect();
+        let mut result = Vec::new();
+        for (name, rule) in view.standing.rules() {
+            let Some(wanted) = by_rule.get(&name) else {
+                continue;
+            };
+            let demand: u64 = wanted.iter().map(|(_, units)| u64::from(*units)).sum();
+            let sites: Vec<Site> = open
+                .iter()
+                .filter(|(area, _)| rule.home.is_none() || regions.get(*area) == rule.home.as_ref())
+                .map(|(area, proxies)| {
+                    // Why by demand: a site's proxies serve all rules, so each gets of them as
+                    // much as it asks of the whole.
+                    let share = (u64::from(*proxies) * demand).div_ceil(total.max(1)) as u32;
+                    let behind = instance_capacity
+                        .get(&(rule.pool.clone(), area.clone()))
+                        .copied()
+                        .unwrap_or(0);
+                    Site {
+                        area: area.clone(),
+                        capacity: share.min(behind),
+                        proxy_capacity: share,
+                    }
+                })
+                .collect();
+            let groups: Vec<ClientGroup> = wanted
+                .iter()
+                .map(|(group, units)| {
+                    let used: Vec<usize> = last
+                        .get(&(group.as_str(), &name))
+                        .iter()
+                        .flat_map(|placement| &placement.shares)
+                        .filter_map(|share| sites.iter().position(|site| site.area == share.area))
+                        .collect();
+                    let measured = self.measured.get(&(group.clone(), name.clone()));
+                    ClientGroup {
+                        group: group.clone(),
+                        rule: name.clone(),
+                        demand: *units,
+                        list: ranked(group, &sites, &used, |area| {
+                            Some(distance_to(area, measured, &regions))
+                        }),
+                        last: used,
+                    }
+                })
+                .collect();
+            let solution = solve(&groups, &sites, EPSILON);
+            for (group, placed) in groups.into_iter().zip(solution.placed) {
+                result.push(GroupPlacement {
+                    group: group.group,
+                    rule: group.rule,
+                    shares: placed
+                        .units
+                        .iter()
+                        .filter(|(_, units)| **units > 0)
+                        .map(|(site, units)| Share {
+                            area: sites[*site].area.clone(),
+                            units: *units,
+                        })
+                        .collect(),
+                    unplaced: placed.unplaced,
+                });
+            }
+        }
+        result
+    }
+}
+
+fn distance_to(area: &Area, measured: Option<&Measured>, regions: &BTreeMap<Area, Region>) -> u32 {
+    let Some(measured) = measured.filter(|measured| !measured.distance.is_empty()) else {
+        return UNMEASURED_FAR;
+    };
+    if let Some(micros) = measured.distance.get(area) {
+        return *micros as u32;
+    }
+    // Why a guess by region: areas of one region are about a millisecond apart, so what was
+    // measured in one of them holds for the others nearly as well.
+    measured
+        .distance
+        .iter()
+        .filter(|(known, _)| regions.get(*known) == regions.get(area))
+        .map(|(_, micros)| *micros as u32 + UNMEASURED_NEAR)
+        .min()
+        .unwrap_or(UNMEASURED_FAR)
+}
+
+/// Whether a new mapping differs enough from the last one to be written.
+pub fn worth_writing(last: Option<&Mapping>, next: &Mapping) -> bool {
+    let Some(last) = last else {
+        return true;
+    };
+    if last.groups.len() != next.groups.len() || last.epoch != next.epoch {
+        return true;
+    }
+    last.groups.iter().zip(&next.groups).any(|(before, after)| {
+        if before.group != after.group || before.rule != after.rule {
+            return true;
+        }
+        let total = |placement: &GroupPlacement| -> u32 {
+            placement.shares.iter().map(|share| share.units).sum::<u32>().max(1)
+        };
+        let part = |placement: &GroupPlacement, area: &Area| -> u32 {
+            let units = placement
+                .shares
+                .iter()
+                .find(|share| share.area == *area)
+                .map_or(0, |share| share.units);
+            units * 100 / total(placement)
+        };
+        before
+            .shares
+            .iter()
+            .chain(&after.shares)
+            .any(|share| part(before, &share.area).abs_diff(part(after, &share.area)) > 10)
+    })
+}
+
+/// One answer of the directory.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Whereabouts {
+    pub rule: RuleName,
+    pub addresses: Vec<SocketAddr>,
+    pub lifetime: Duration,
+}
+
+/// Answers where a client should go, from the last mapping and the proxies last heard of.
+pub fn whereabouts(
+    mapping: &Mapping,
+    rule: &RuleName,
+    group: &str,
+    own_area: &Area,
+    proxies: &[(Area, SocketAddr)],
+    draw: u64,
+) -> Option<Whereabouts> {
+    let find = |wanted: &str| {
+        mapping
+            .groups
+            .iter()
+            .find(|placement| placement.group == wanted && placement.rule == *rule)
+    };
+    let placement = find(group).or_else(|| find(UNSEEN_GROUP))?;
+    let unseen = placement.group == UNSEEN_GROUP;
+    let total: u64 = placement.shares.iter().map(|share| u64::from(share.units)).sum();
+    let mut point = draw % total.max(1);
+    let mut order: Vec<&Area> = Vec::new();
+    for share in &placement.shares {
+        if point < u64::from(share.units) && order.is_empty() {
+            order.insert(0, &share.area);
+        } else {
+            point = point.saturating_sub(u64::from(share.units));
+        }
+    }
+    for share in &placement.shares {
+        if !order.contains(&&share.area) {
+            order.push(&share.area);
+        }
+    }
+    // Why the own area: a client that nobody has measured asked a directory near it.
+    if unseen && proxies.iter().any(|(area, _)| area == own_area) && order.contains(&own_area) {
+        order.retain(|area| *area != own_area);
+        order.insert(0, own_area);
+    }
+    let mut addresses = Vec::new();
+    for area in order {
+        let here: Vec<SocketAddr> = proxies
+            .iter()
+            .filter(|(known, _)| known == area)
+            .map(|(_, address)| *address)
+            .collect();
+        let start = (mix(draw) % here.len().max(1) as u64) as usize;
+        addresses.extend(here.iter().cycle().skip(start).take(here.len()).copied());
+    }
+    addresses.truncate(LIST_LENGTH);
+    (!addresses.is_empty()).then(|| Whereabouts {
+        rule: rule.clone(),
+        addresses,
+        lifetime: ANSWER_LIFETIME,
+    })
+}
--- /dev/null
+++ b/crates/caperworks/src/tenure.rs
@@ -0,0 +1,329 @@
+//! Tenure: which instance owns which slice of keyed data, and for how long it may act on it.
+//!
+//! A slice changes owner only once the old owner has said that it let go with nothing under way,
+//! or its hold, as the grantor bounds it, has passed.
+
+use crate::prelude::*;
+
+/// How long a hold lives.
+pub const HOLD_SPAN: Duration = Duration::from_millis(6000);
+/// The longest that a hold of the keeper before may still live after a takeover: it may have gone
+/// on granting until its own permit ended.
+pub const KEEPER_WAIT: Duration = Duration::from_millis(9000);
+/// How many slices may be on the move at once, per pool, when no owner was lost.
+pub const MOVES_AT_ONCE: usize = 4;
+/// An owner that does not take up a slice for this long is not offered it again.
+const UPTAKE_SPAN: Duration = Duration::from_millis(2500);
+
+messages! {
+    struct HoldAnswer {
+        0 slice: u32,
+        1 epoch: Epoch,
+        2 left: Duration,
+    }
+
+    /// The answer to a beat: what the instance holds, and what it is to let go of.
+    struct BeatAnswer {
+        0 holds: Vec<HoldAnswer>,
+        1 release: Vec<HoldAnswer>,
+    }
+}
+
+/// The slice that a key falls into.
+pub fn slice_of(key: &str, slices: u32) -> u32 {
+    (steady_hash(key) % u64::from(slices.max(1))) as u32
+}
+
+#[derive(Debug, Clone, Default)]
+struct SliceWatch {
+    /// Until when the present owner may act, as we bound it.
+    until: Duration,
+    offered_since: Option<Duration>,
+    taken_up: bool,
+    releasing: bool,
+    spurned: bool,
+    released: bool,
+    epoch: Epoch,
+}
+
+/// The tenure keeper; one ledger has the duty.
+#[derive(Debug, Clone, Default)]
+pub struct Keeper {
+    watches: BTreeMap<(PoolName, u32), SliceWatch>,
+    held_since: Duration,
+    /// Only for proving the observers: moves slices without waiting out a hold.
+    pub hasty: bool,
+}
+
+impl Keeper {
+    /// Starts a term. Holds given by the keeper before may live until `now + KEEPER_WAIT`.
+    pub fn take_up(&mut self, now: Duration) {
+        self.watches.clear();
+        self.held_since = now;
+    }
+
+    fn watch(&mut self, pool: &PoolName, slice: u32, epoch: Epoch) -> &mut SliceWatch {
+        let bound = self.held_since + KEEPER_WAIT;
+        let watch = self
+            .watches
+            .entry((pool.clone(), slice))
+            .or_insert_with(|| SliceWatch {
+                until: bound,
+                epoch,
+                ..SliceWatch::default()
+            });
+        if watch.epoch != epoch {
+            *watch = SliceWatch {
+                epoch,
+                ..SliceWatch::default()
+            };
+        }
+        watch
+    }
+
+    /// Renews the holds of an instance that beats.
+    pub fn beat(&mut self, now: Duration, beat: &Beat, tenure: &Book) -> BeatAnswer {
+        let mut answer = BeatAnswer {
+            holds: Vec::new(),
+            release: Vec::new(),
+        };
+        let Some(table) = tenure.slices(&beat.pool) else {
+            return answer;
+        };
+        for (slice, owner) in table.owners.iter().enumerate() {
+            let slice = slice as u32;
+            let Some(owner) = owner.as_ref().filter(|owner| {
+                owner.instance == beat.id && owner.incarnation == beat.incarnation
+            }) else {
+                continue;
+            };
+            let holding = beat.holding.contains(&slice);
+            let watch = self.watch(&beat.pool, slice, owner.epoch);
+            watch.taken_up |= holding;
+            if watch.releasing || watch.spurned {
+                if watch.releasing && !holding {
+                    watch.released = true;
+                }
+                answer.release.push(HoldAnswer {
+                    slice,
+                    epoch: owner.epoch,
+                    left: Duration::ZERO,
+                });
+                continue;
+            }
+            let offered = *watch.offered_since.get_or_insert(now);
+            if !holding && now.saturating_sub(offered) >= UPTAKE_SPAN {
+                // Why stop: it let go under a keeper before us and refuses this epoch for good;
+                // once its hold has surely passed the slice is given out under a new one.
+                watch.spurned = true;
+                continue;
+            }
+            watch.until = watch.until.max(now + HOLD_SPAN);
+            answer.holds.push(HoldAnswer {
+                slice,
+                epoch: owner.epoch,
+                left: HOLD_SPAN,
+            });
+        }
+        answer
+    }
+
+    /// Says the next table of a pool, if any slice is to change hands now.
+    pub fn plan(
+        &mut self,
+        now: Duration,
+        epoch: Epoch,
+        name: &PoolName,
+        pool: &Pool,
+        instances: &Instances,
+        closed: &BTreeSet<Area>,
+        tenure: &Book,
+    ) -> Option<SliceTable> {
+        let wanted = pool.slices as usize;
+        let mut table = tenure.slices(name).cloned().unwrap_or(SliceTable {
+            epoch,
+            owners: vec![None; wanted],
+        });
+        if table.owners.len() != wanted {
+            // Why refuse: another count of slices maps keys anew, which two owners could not
+            // agree on while holds live; the count is settled when a pool is made.
+            return None;
+        }
+        let able: Vec<&Beat> = instances
+            .iter()
+            .filter(|beat| beat.pool == *name && !closed.contains(&beat.area))
+            .filter(|beat| beat.state != InstanceState::Leaving)
+            .collect();
+        let warm: Vec<&Beat> = able
+            .iter()
+            .copied()
+            .filter(|beat| !beat.is_cold(pool.warm_span))
+            .collect();
+        // Why the cold as a last resort: a slow owner is better than none.
+        let hosts = if warm.is_empty() { able } else { warm };
+        let targets = targets(name, wanted, &hosts);
+        let mut changed = false;
+        let mut moving = self
+            .watches
+            .iter()
+            .filter(|((pool, _), watch)| pool == name && watch.releasing && !watch.released)
+            .count();
+        let mut next_epoch = table
+            .owners
+            .iter()
+            .flatten()
+            .map(|owner| owner.epoch)
+            .max()
+            .unwrap_or_default()
+            .max(Epoch(table.epoch.0));
+        let hasty = self.hasty;
+        for slice in 0..wanted {
+            let target = targets.get(slice).copied().flatten();
+            let owner = table.owners[slice].clone();
+            let free = match &owner {
+                None => true,
+                Some(owner) => {
+                    let alive = instances.get(&owner.instance).is_some_and(|beat| {
+                        beat.incarnation == owner.incarnation
+                            && beat.pool == *name
+                            && beat.state != InstanceState::Leaving
+                            && !closed.contains(&beat.area)
+                    });
+                    let elsewhere = target.is_some_and(|target| target.id != owner.instance);
+                    let watch = self.watch(name, slice as u32, owner.epoch);
+                    if !watch.releasing && elsewhere && (!alive || moving < MOVES_AT_ONCE) {
+                        watch.releasing = true;
+                        moving += usize::from(alive);
+                    }
+                    let passed = now >= watch.until || hasty;
+                    let held_by_none = watch.spurned && passed;
+                    (watch.releasing && (watch.released || passed))
+                        || held_by_none
+                        || (!alive && passed)
+                }
+            };
+            if !free {
+                continue;
+            }
+            let next = target.map(|target| (target.id.clone(), target.incarnation));
+            let same = match (&owner, &next) {
+                (None, None) => true,
+                (Some(owner), Some((id, incarnation))) => {
+                    owner.instance == *id
+                        && owner.incarnation == *incarnation
+                        && !self.watch(name, slice as u32, owner.epoch).spurned
+                }
+                _ => false,
+            };
+            if same {
+                continue;
+            }
+            next_epoch = next_epoch.next();
+            table.owners[slice] = next.map(|(instance, incarnation)| SliceOwner {
+                instance,
+                incarnation,
+                epoch: next_epoch,
+            });
+            changed = true;
+        }
+        // Why kept in the table: an epoch must grow even when the slice had no owner between.
+        table.epoch = next_epoch.max(table.epoch);
+        changed.then_some(table)
+    }
+}
+
+/// Rendezvous hashing with a bound on how many slices one instance may get.
+fn targets<'beats>(name: &PoolName, slices: usize, hosts: &[&'beats Beat]) -> Vec<Option<&'beats Beat>> {
+    if hosts.is_empty() {
+        return vec![None; slices];
+    }
+    let most = (slices * 5).div_ceil(hosts.len() * 4).max(1);
+    let mut given: BTreeMap<&InstanceId, usize> = BTreeMap::new();
+    (0..slices)
+        .map(|slice| {
+            let mut ranked: Vec<(u64, &&Beat)> = hosts
+                .iter()
+                .map(|beat| (steady_hash(&format!("{name} {slice} {}", beat.id)), beat))
+                .collect();
+            ranked.sort_by_key(|(hash, _)| std::cmp::Reverse(*hash));
+            let (_, pick) = ranked
+                .into_iter()
+                .find(|(_, beat)| given.get(&beat.id).copied().unwrap_or(0) < most)?;
+            *given.entry(&pick.id).or_default() += 1;
+            Some(*pick)
+        })
+        .collect()
+}
+
+/// The instance's side: what it holds, and what it refuses for good.
+#[derive(Debug, Clone, Default)]
+pub struct Holdings {
+    held: BTreeMap<u32, (Epoch, Duration)>,
+    given_up: BTreeMap<u32, Epoch>,
+    under_way: BTreeMap<u32, u32>,
+}
+
+impl Holdings {
+    /// Takes the answer to a beat that was sent at `sent_at`.
+    pub fn answered(&mut self, sent_at: Duration, answer: &BeatAnswer) {
+        for hold in &answer.holds {
+            let given_up = self.given_up.get(&hold.slice).copied().unwrap_or_default();
+            if hold.epoch <= given_up {
+                continue;
+            }
+            let span = hold.left.saturating_sub(DRIFT_MARGIN);
+            let entry = self
+                .held
+                .entry(hold.slice)
+                .or_insert((hold.epoch, Duration::ZERO));
+            if hold.epoch > entry.0 {
+                *entry = (hold.epoch, sent_at + span);
+            } else if hold.epoch == entry.0 {
+                entry.1 = entry.1.max(sent_at + span);
+            }
+        }
+        for release in &answer.release {
+            let given_up = self.given_up.entry(release.slice).or_default();
+            *given_up = (*given_up).max(release.epoch);
+        }
+    }
+
+    /// Whether an order under this epoch may start now and end within `need`, all under the hold.
+    pub fn may_start(&self, now: Duration, slice: u32, epoch: Epoch, need: Duration) -> bool {
+        let given_up = self.given_up.get(&slice).copied().unwrap_or_default();
+        epoch > given_up
+            && self
+                .held
+                .get(&slice)
+                .is_some_and(|(held, until)| *held == epoch && now + need < *until)
+    }
+
+    pub fn started(&mut self, slice: u32) {
+        *self.under_way.entry(slice).or_default() += 1;
+    }
+
+    pub fn ended(&mut self, slice: u32) {
+        if let Some(count) = self.under_way.get_mut(&slice) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// What the next beat says is held: live holds not given up, and all with work under way.
+    pub fn holding(&self, now: Duration) -> Vec<u32> {
+        let mut slices: BTreeSet<u32> = self
+            .held
+            .iter()
+            .filter(|(slice, (epoch, until))| {
+                now < *until && *epoch > self.given_up.get(slice).copied().unwrap_or_default()
+            })
+            .map(|(slice, _)| *slice)
+            .collect();
+        slices.extend(
+            self.under_way
+                .iter()
+                .filter(|(_, count)| **count > 0)
+                .map(|(slice, _)| *slice),
+        );
+        slices.into_iter().collect()
+    }
+}
--- /dev/null
+++ b/crates/cuesheet/src/lib.rs
@@ -0,0 +1,4 @@
+//! The directory as a state machine.
+
+pub mod machine;
+pub mod prelude;
--- /dev/null
+++ b/crates/cuesheet/src/machine.rs
@@ -0,0 +1,153 @@
+//! The directory's state machine: follows the placement and answers from the last mapping.
+
+use crate::prelude::*;
+
+#[derive(Debug, Clone)]
+pub struct CuesheetOptions {
+    pub control: SocketAddr,
+    pub serving: SocketAddr,
+    pub area: Area,
+    pub seeds: Vec<SocketAddr>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum CuesheetInput {
+    Tick,
+    Heard { envelope: Envelope },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum CuesheetOutput {
+    Send { to: SocketAddr, message: Message },
+    Moved { book: BookName, edition: Edition },
+}
+
+/// Why the directory cannot say where to go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Nowhere {
+    NoRule,
+    /// No mapping yet, or nothing in it is alive.
+    NoPlace,
+}
+
+pub struct CuesheetMachine {
+    options: CuesheetOptions,
+    node: NodeId,
+    link: CoreLink,
+    counter: u64,
+    table: RuleTable,
+    /// The proxies as last heard: kept when the core falls silent.
+    proxies: Vec<(Area, SocketAddr)>,
+    chance: Chance,
+    ready: bool,
+}
+
+impl CuesheetMachine {
+    pub fn start(options: CuesheetOptions, seed: u64) -> Self {
+        let mut chance = Chance::seeded(seed);
+        let node = NodeId(chance.draw() >> 1);
+        let link = CoreLink::new(options.seeds.clone(), chance.draw());
+        Self {
+            options,
+            node,
+            link,
+            counter: 0,
+            table: RuleTable::default(),
+            proxies: Vec::new(),
+            chance,
+            ready: true,
+        }
+    }
+
+    pub fn node(&self) -> NodeId {
+        self.node
+    }
+
+    pub fn stop_politely(&mut self) {
+        self.ready = false;
+    }
+
+    pub fn has_mapping(&self) -> bool {
+        let placement = self.link.shelf.follower().book(BookName::Placement);
+        placement.mapping().is_some() && self.ready
+    }
+
+    pub fn input(&mut self, now: Duration, input: CuesheetInput) -> Vec<CuesheetOutput> {
+        let mut outputs = Vec::new();
+        match input {
+            CuesheetInput::Tick => {
+                if self.link.due(now) {
+                    self.counter += 1;
+                    let member = Member {
+                        node: self.node,
+                        counter: self.counter,
+                        role: Role::Directory,
+                        area: self.options.area.clone(),
+                        control: self.options.control,
+                        serving: self.options.serving,
+                        ready: self.ready,
+                        capacity: 0,
+                        demand: Vec::new(),
+                        editions: self.link.editions(),
+                    };
+                    let (to, message) = self.link.renew(now, member);
+                    outputs.push(CuesheetOutput::Send { to, message });
+                }
+            }
+            CuesheetInput::Heard { envelope } => {
+                if let Message::Grant { granted } = envelope.message {
+                    for book in self.link.granted(now, envelope.from, &granted) {
+                        if book == BookName::Standing {
+                            let standing = self.link.shelf.follower().book(book);
+                            self.table = RuleTable::of(standing);
+                        }
+                        let edition = self.link.shelf.follower().book(book).edition;
+                        outputs.push(CuesheetOutput::Moved { book, edition });
+                    }
+                    self.heard_members(now, granted.assured);
+                }
+            }
+        }
+        outputs
+    }
+
+    /// Why only on an assured answer: while the core is out of reach no proxy's silence means
+    /// anything, and the last list is the best there is.
+    fn heard_members(&mut self, now: Duration, assured: bool) {
+        if !assured {
+            return;
+        }
+        self.link.members.expire(now);
+        let proxies: Vec<(Area, SocketAddr)> = self
+            .link
+            .members
+            .ready_proxies()
+            .map(|member| (member.area.clone(), member.serving))
+            .collect();
+        if !proxies.is_empty() {
+            self.proxies = proxies;
+        }
+    }
+
+    /// Where a client at this address should take an order for this host and path.
+    pub fn find(&mut self, host: &str, path: &str, client: IpAddr) -> Result<Whereabouts, Nowhere> {
+        let (rule, _) = self.table.find(host, path).ok_or(Nowhere::NoRule)?;
+        let draw = self.chance.draw();
+        self.link
+            .shelf
+            .follower()
+            .book(BookName::Placement)
+            .mapping()
+            .and_then(|mapping| {
+                whereabouts(
+                    mapping,
+                    rule,
+                    &group_of(client),
+                    &self.options.area,
+                    &self.proxies,
+                    draw,
+                )
+            })
+            .ok_or(Nowhere::NoPlace)
+    }
+}
--- /dev/null
+++ b/crates/foreman/src/main.rs
@@ -0,0 +1,185 @@
+//! `foreman`: the operators' command line.
+
+use toolroom::prelude::*;
+
+const HELP: &str = "Drives a caperworks fleet: applies change sets, reads and watches resources, \
+closes and opens areas, and shows the state of the core";
+
+#[derive(Debug, Clone)]
+enum Command {
+    Apply { file: PathBuf },
+    Get { resource: Option<String> },
+    Watch { after: u64 },
+    Close { area: String },
+    Open { area: String },
+    Status,
+}
+
+#[derive(Debug, Clone)]
+struct Flags {
+    ledgers: Vec<SocketAddr>,
+    command: Command,
+}
+
+fn flags() -> OptionParser<Flags> {
+    let ledgers = long("ledger")
+        .help("HTTP address of a ledger; give several and they are tried in turn")
+        .argument::<SocketAddr>("ADDRESS")
+        .some("give at least one --ledger");
+    let file = positional::<PathBuf>("FILE").help("A change set in JSON");
+    let apply = construct!(Command::Apply { file })
+        .to_options()
+        .descr("Apply a change set, whole or not at all")
+        .command("apply");
+    let resource = positional::<String>("KIND/NAME").help("Such as rule/lookups").optional();
+    let get = construct!(Command::Get { resource })
+        .to_options()
+        .descr("Read one resource, or all of them")
+        .command("get");
+    let after = long("after")
+        .help("Follow changes after this edition; without it, from the present one on")
+        .argument::<u64>("EDITION")
+        .fallback(u64::MAX);
+    let watch = construct!(Command::Watch { after })
+        .to_options()
+        .descr("Follow accepted changes as they come")
+        .command("watch");
+    let area = positional::<String>("AREA");
+    let close = construct!(Command::Close { area })
+        .to_options()
+        .descr("Empty an area: no orders go there until it is opened")
+        .command("close");
+    let area = positional::<String>("AREA");
+    let open = construct!(Command::Open { area })
+        .to_options()
+        .descr("Give an area back")
+        .command("open");
+    let status = bpaf::pure(Command::Status)
+        .to_options()
+        .descr("Show seats, duties, members, lag and unplaced demand")
+        .command("status");
+    let command = construct!([apply, get, watch, close, open, status]);
+    construct!(Flags { ledgers, command }).to_options().descr(HELP)
+}
+
+/// Asks the ledgers in turn until one gives an answer that settles the matter.
+///
+/// Why it is safe to send a change to the next: every repeat carries the same change id, and the
+/// core answers a repeat with the first answer.
+async fn ask(ledgers: &[SocketAddr], make: impl Fn(SocketAddr) -> Fetch) -> anyhow::Result<Fetched> {
+    let mut last = None;
+    for ledger in ledgers {
+        match make(*ledger).patience(Duration::from_secs(35)).send().await {
+            Ok(fetched) if fetched.status == 503 => last = Some(Ok(fetched)),
+            Ok(fetched) => return Ok(fetched),
+            Err(mishap) => {
+                eprintln!("{ledger}: {mishap}");
+                last = last.or(Some(Err(mishap)));
+            }
+        }
+    }
+    last.unwrap_or_else(|| Err(anyhow!("no ledger was named")))
+}
+
+fn show(fetched: &Fetched) -> i32 {
+    println!("{}", fetched.json().pretty(2));
+    match fetched.status {
+        200 => 0,
+        400 | 404 => 2,
+        409 => 3,
+        _ => 1,
+    }
+}
+
+async fn apply(ledgers: &[SocketAddr], text: String) -> anyhow::Result<i32> {
+    let fetched = ask(ledgers, |ledger| {
+        Fetch::post(ledger, "/v1/standing", text.clone())
+    })
+    .await?;
+    Ok(show(&fetched))
+}
+
+async fn turn_area(ledgers: &[SocketAddr], area: &str, closed: bool) -> anyhow::Result<i32> {
+    let path = format!("/v1/standing/area/{area}");
+    let present = ask(ledgers, |ledger| Fetch::get(ledger, path.clone())).await?;
+    if present.status != 200 {
+        return Ok(show(&present));
+    }
+    let json = present.json();
+    let mut order = json["area"].clone();
+    order["closed"] = closed.into();
+    let word = if closed { "close" } else { "open" };
+    let put = jzon::object! {
+        kind: "area",
+        name: area,
+        edition: json["edition"].as_u64(),
+        area: order,
+    };
+    let change = jzon::object! {
+        id: format!("{word}-{area}-{:x}", fresh_seed()),
+        put: [put],
+    };
+    apply(ledgers, change.dump()).await
+}
+
+async fn watch(ledgers: &[SocketAddr], after: u64) -> anyhow::Result<i32> {
+    let mut after = after;
+    if after == u64::MAX {
+        let now = ask(ledgers, |ledger| Fetch::get(ledger, "/v1/standing")).await?;
+        if now.status != 200 {
+            return Ok(show(&now));
+        }
+        after = now.json()["edition"].as_u64().unwrap_or(0);
+    }
+    loop {
+        let path = format!("/v1/changes?after={after}&wait_ms=20000");
+        let fetched = match ask(ledgers, |ledger| Fetch::get(ledger, path.clone())).await {
+            Ok(fetched) if fetched.status == 200 => fetched,
+            _ => {
+                tokio::time::sleep(Duration::from_secs(1)).await;
+                continue;
+            }
+        };
+        let json = fetched.json();
+        // Why never back: another ledger may be a little behind the one that answered before.
+        let edition = json["edition"].as_u64().unwrap_or(0);
+        if edition <= after {
+            continue;
+        }
+        after = edition;
+        if json.has_key("snapshot") {
+            println!("{}", json["snapshot"].dump());
+        }
+        for change in json["changes"].members() {
+            println!("{}", change.dump());
+        }
+    }
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> anyhow::Result<()> {
+    let flags = read_flags(&flags());
+    let ledgers = &flags.ledgers;
+    let code = match &flags.command {
+        Command::Apply { file } => match std::fs::read_to_string(file) {
+            Ok(text) => apply(ledgers, text).await?,
+            Err(mishap) => end_over(&[OptionsFault {
+                file: file.display().to_string(),
+                field: "file".to_string(),
+                remedy: format!("cannot be read ({mishap}): give a file that exists"),
+            }]),
+        },
+        Command::Get { resource } => {
+            let path = match resource {
+                Some(resource) => format!("/v1/standing/{resource}"),
+                None => "/v1/standing".to_string(),
+            };
+            show(&ask(ledgers, |ledger| Fetch::get(ledger, path.clone())).await?)
+        }
+        Command::Watch { after } => watch(ledgers, *after).await?,
+        Command::Close { area } => turn_area(ledgers, area, true).await?,
+        Command::Open { area } => turn_area(ledgers, area, false).await?,
+        Command::Status => show(&ask(ledgers, |ledger| Fetch::get(ledger, "/v1/status")).await?),
+    };
+    std::process::exit(code);
+}
--- /dev/null
+++ b/crates/ledger/src/blackboard.rs
@@ -0,0 +1,269 @@
+//! The blackboard that the ledger's controllers read and write.
+
+use crate::prelude::*;
+
+messages! {
+    /// What a ledger keeps in a slot.
+    struct LedgerState {
+        0 node: NodeId,
+        1 copies: Vec<Copy>,
+        2 founding: Option<Founding>,
+    }
+}
+
+/// A ledger's place in the world.
+#[derive(Debug, Clone)]
+pub struct LedgerOptions {
+    pub control: SocketAddr,
+    pub area: Area,
+    pub seeds: Vec<SocketAddr>,
+    pub slot_room: u64,
+    pub log_room: u64,
+    pub proposer: ProposerOptions,
+    /// Only for proving the observers: the named safeguard is left out.
+    pub broken: Broken,
+}
+
+/// The deliberately broken variants that the observers must catch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Broken {
+    #[default]
+    Nothing,
+    /// One vote is a majority.
+    LoneMajority,
+    /// Votes leave before they are synced.
+    UnsyncedVotes,
+    /// Grants are given without a round of the majority.
+    LoneGrants,
+    /// Slices move without waiting out holds.
+    HastyKeeper,
+}
+
+impl LedgerOptions {
+    pub fn new(control: SocketAddr, area: Area, seeds: Vec<SocketAddr>) -> Self {
+        Self {
+            control,
+            area,
+            seeds,
+            slot_room: 16 * 1024 * 1024,
+            log_room: 8 * 1024 * 1024,
+            proposer: ProposerOptions::default(),
+            broken: Broken::Nothing,
+        }
+    }
+
+    pub fn disk_room(mut self, slot_room: u64, log_room: u64) -> Self {
+        self.slot_room = slot_room;
+        self.log_room = log_room;
+        self
+    }
+
+    pub fn broken(mut self, broken: Broken) -> Self {
+        self.broken = broken;
+        if broken == Broken::LoneMajority {
+            self.proposer.majority_override = Some(1);
+        }
+        self
+    }
+}
+
+/// Who waits for the verdict on a proposal.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Asker {
+    Operator(u64),
+    Solver,
+    Tenure,
+    Duty(&'static str),
+    Fence(BookName),
+    Seating,
+}
+
+/// A seed as last heard.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SeedSeen {
+    pub node: NodeId,
+    pub area: Area,
+    pub founded: bool,
+    pub seats: Option<Seats>,
+}
+
+#[derive(Debug, Clone)]
+pub struct Watcher {
+    pub ticket: u64,
+    pub after: Edition,
+    pub until: Duration,
+}
+
+pub struct Blackboard {
+    pub options: LedgerOptions,
+    pub now: Duration,
+    pub node: NodeId,
+    pub chance: Chance,
+
+    pub seat: Seat,
+    pub proposers: Vec<Proposer>,
+    pub askers: Slab<Asker>,
+    pub behind_since: [Option<Duration>; 4],
+
+    pub disk: SlotDisk,
+    pub next_write: u64,
+    /// What may leave once the write with this ticket is synced.
+    pub held: VecDeque<(u64, Vec<LedgerOutput>)>,
+    /// The disk refused a write; no votes until a whole slot was written.
+    pub ailing: bool,
+    pub retry_write_at: Duration,
+    /// The last write of a whole slot that is not synced yet.
+    pub unsynced_slot: Option<u64>,
+
+    pub founding: Option<Founding>,
+    pub found_took: BTreeSet<NodeId>,
+    pub seeds: BTreeMap<SocketAddr, SeedSeen>,
+    pub ask_seeds_at: Duration,
+
+    pub rounds: Rounds,
+    pub liveness: Liveness,
+    pub next_round_at: Duration,
+
+    pub instances: Instances,
+    pub members: Members,
+    pub shared_instances: u64,
+    pub shared_members: u64,
+    pub share_at: Duration,
+
+    pub duties: Vec<DutyWatch>,
+    pub solver: Solver,
+    pub keeper: Keeper,
+    pub keeper_epoch: Option<Epoch>,
+    pub keeper_since: Duration,
+    pub plan_at: Duration,
+    pub seating_at: Duration,
+    pub lost_since: BTreeMap<NodeId, Duration>,
+
+    pub watchers: Vec<Watcher>,
+    pub outputs: Vec<LedgerOutput>,
+}
+
+impl Blackboard {
+    pub fn book(&self, name: BookName) -> &Book {
+        self.seat.book(name)
+    }
+
+    pub fn seats(&self) -> Option<&Seats> {
+        self.book(BookName::Cohort).seats()
+    }
+
+    pub fn is_seat(&self) -> bool {
+        self.seats()
+            .is_some_and(|seats| seats.holder(self.node).is_some())
+    }
+
+    /// Sends to another node, or to ourselves by way of the host.
+    pub fn send(&mut self, to: SocketAddr, message: Message) {
+        self.outputs.push(LedgerOutput::Send { to, message });
+    }
+
+    pub fn note(&mut self, event: Event) {
+        self.outputs.push(LedgerOutput::Note { event });
+    }
+
+    /// Where a node hears us: a seat's address, or a seed's.
+    pub fn address_of(&self, node: NodeId) -> Option<SocketAddr> {
+        if let Some(holder) = self.seats().and_then(|seats| seats.holder(node)) {
+            return Some(holder.address);
+        }
+        self.seeds
+            .iter()
+            .find(|(_, seen)| seen.node == node)
+            .map(|(address, _)| *address)
+    }
+
+    /// The other ledgers, by the cohort and by the seeds.
+    pub fn other_ledgers(&self) -> BTreeSet<SocketAddr> {
+        let mut addresses: BTreeSet<SocketAddr> = self
+            .seats()
+            .iter()
+            .flat_map(|seats| &seats.holders)
+            .filter(|holder| holder.ledger)
+            .map(|holder| holder.address)
+            .collect();
+        addresses.extend(&self.options.seeds);
+        addresses.extend(self.seeds.keys());
+        addresses.remove(&self.options.control);
+        addresses
+    }
+
+    pub fn state_bytes(&self) -> Vec<u8> {
+        let state = LedgerState {
+            node: self.node,
+            copies: self.seat.copies().to_vec(),
+            founding: self.founding.clone(),
+        };
+        // Why an invariant: encoding into memory cannot fail for these types.
+        minicbor::to_vec(state).expect("state encodes")
+    }
+
+    /// Lets outputs leave once everything up to now is synced.
+    fn hold(&mut self, writes: Vec<DiskWrite>, then: Vec<LedgerOutput>) {
+        self.next_write += 1;
+        let ticket = self.next_write;
+        self.outputs.push(LedgerOutput::Write { ticket, writes });
+        if self.options.broken == Broken::UnsyncedVotes {
+            self.outputs.extend(then);
+        } else {
+            self.held.push_back((ticket, then));
+        }
+    }
+
+    pub fn write_slot(&mut self, then: Vec<LedgerOutput>) {
+        let state = self.state_bytes();
+        if !self.disk.slot_fits(state.len()) {
+            // Why not write: a slot cut short would be the loss of everything.
+            self.ailing = true;
+            let event = Event::StateTooLarge { bytes: state.len() as u64 };
+            self.note(event);
+            return;
+        }
+        let writes = self.disk.rewrite(&state).to_vec();
+        self.hold(writes, then);
+        self.unsynced_slot = Some(self.next_write);
+    }
+
+    pub fn write_records(&mut self, records: &[Record], then: Vec<LedgerOutput>) {
+        // Why nothing: a line was lost, so the log has a gap; the slot that mends it holds this too.
+        if self.ailing {
+            return;
+        }
+        let lines: Vec<Vec<u8>> = records
+            .iter()
+            .map(|record| minicbor::to_vec(record).expect("records encode"))
+            .collect();
+        match self.disk.append(&lines) {
+            Some(write) => self.hold(vec![write], then),
+            None => self.write_slot(then),
+        }
+    }
+
+    pub fn propose(&mut self, book: BookName, asker: Asker, change: Change) {
+        let now = self.now;
+        let ticket = self.askers.insert(asker) as u64;
+        self.proposers[book.index()].propose(now, ticket, change);
+    }
+
+    /// Whether a proposal for this asker is under way.
+    pub fn asked(&self, asker: &Asker) -> bool {
+        self.askers.iter().any(|(_, waiting)| waiting == asker)
+    }
+
+    /// An id for a change of our own that no other life of any node will use.
+    pub fn own_change_id(&mut self, what: &str) -> ChangeId {
+        let draw = self.chance.draw();
+        ChangeId::new(format!("{what}-{}-{draw:x}", self.node))
+    }
+
+    /// Whether this ledger knows the latest of a book, by a round of the majority.
+    pub fn is_current(&self, name: BookName) -> bool {
+        self.rounds
+            .confirmed(self.now)
+            .is_some_and(|round| round.editions[name.index()] <= self.book(name).edition)
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/machine.rs
@@ -0,0 +1,423 @@
+//! The ledger's state machine: takes inputs, returns what to send, write and answer.
+
+use crate::prelude::*;
+
+use crate::{council, duties};
+
+const SHARE_PERIOD: Duration = Duration::from_millis(150);
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum LedgerInput {
+    Tick,
+    Heard { envelope: Envelope },
+    Synced { ticket: u64 },
+    WriteFailed { ticket: u64 },
+    Operator { ticket: u64, call: OperatorCall },
+    /// A beat that an instance sent straight to us.
+    Beat { ticket: u64, beat: Beat },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum LedgerOutput {
+    Send { to: SocketAddr, message: Message },
+    Write { ticket: u64, writes: Vec<DiskWrite> },
+    Answer { ticket: u64, answer: OperatorAnswer },
+    Note { event: Event },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum OperatorCall {
+    Apply { change: Change },
+    Read,
+    Watch { after: Edition, wait: Duration },
+    Status,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum OperatorAnswer {
+    Verdict { verdict: Verdict },
+    Standing { book: Book },
+    Changes { edition: Edition, news: Option<Vote> },
+    Status { status: Box<LedgerStatus> },
+    Beat { answer: BeatAnswer },
+    /// This ledger cannot vouch for what it knows.
+    NotCurrent,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct LedgerStatus {
+    pub node: NodeId,
+    pub area: Area,
+    pub editions: Vec<Edition>,
+    pub current: bool,
+    pub ailing: bool,
+    pub seats: Vec<(SeatHolder, bool)>,
+    pub duties: Vec<(&'static str, Option<DutyTerm>)>,
+    pub members: Vec<Member>,
+    pub instances: Vec<Beat>,
+    pub mapping: Option<Mapping>,
+}
+
+/// What is worth a line in the log; the daemon numbers them after the catalogue.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    Founded,
+    BookMoved { book: BookName, edition: Edition },
+    DutyWanted { duty: &'static str, epoch: Epoch },
+    KeeperTookUp { epoch: Epoch },
+    StateTooLarge { bytes: u64 },
+    DiskRefused,
+    DiskWell,
+    Damaged { why: String },
+    InstanceGone { id: InstanceId },
+    MemberGone { node: NodeId },
+    SeatWanted { why: String },
+}
+
+pub struct LedgerMachine {
+    pub board: Blackboard,
+}
+
+impl LedgerMachine {
+    /// Starts from what lay on disk.
+    pub fn start(
+        options: LedgerOptions,
+        image: &DiskImage,
+        seed: u64,
+    ) -> (Self, Vec<LedgerOutput>) {
+        let mut chance = Chance::seeded(seed);
+        let mut disk = SlotDisk::new(options.slot_room, options.log_room);
+        let mut events = Vec::new();
+        let mut founding = None;
+        let mut node = NodeId(chance.draw() >> 1);
+        let mut seat = Seat::default();
+        let mut fresh = true;
+        match disk.recover(image) {
+            Recovery::Empty => {}
+            Recovery::Found { state, lines } => match minicbor::decode::<LedgerState>(&state) {
+                Ok(state) if state.copies.len() == ALL_BOOKS.len() => {
+                    fresh = false;
+                    node = state.node;
+                    founding = state.founding;
+                    seat = Seat::restored(state.copies);
+                    for line in lines {
+                        match minicbor::decode::<Record>(&line) {
+                            Ok(record) => seat.replay(record),
+                            Err(_) => events.push(Event::Damaged {
+                                why: "a log line cannot be read".to_string(),
+                            }),
+                        }
+                    }
+                }
+                _ => events.push(Event::Damaged {
+                    why: "the slot's contents cannot be read".to_string(),
+                }),
+            },
+            // Why as empty: half of what was promised is worse than nothing; under a new name it
+            // holds no seat and copies the books from the others.
+            Recovery::Damaged(why) => events.push(Event::Damaged { why }),
+        }
+        if !events.is_empty() {
+            fresh = true;
+            node = NodeId(chance.draw() >> 1);
+            seat = Seat::default();
+            founding = None;
+            disk = SlotDisk::new(options.slot_room, options.log_room);
+            disk.skip_generations(image);
+        }
+        let proposers = ALL_BOOKS
+            .iter()
+            .map(|name| Proposer::new(*name, node, options.proposer.clone()))
+            .collect();
+        let mut machine = Self {
+            board: Blackboard {
+                options,
+                now: Duration::ZERO,
+                node,
+                chance,
+                seat,
+                proposers,
+                askers: Slab::new(),
+                behind_since: [None; 4],
+                disk,
+                next_write: 0,
+                held: VecDeque::new(),
+                ailing: false,
+                retry_write_at: Duration::ZERO,
+                unsynced_slot: None,
+                founding,
+                found_took: BTreeSet::new(),
+                seeds: BTreeMap::new(),
+                ask_seeds_at: Duration::ZERO,
+                rounds: Rounds::default(),
+                liveness: Liveness::default(),
+                next_round_at: Duration::ZERO,
+                instances: Instances::default(),
+                members: Members::default(),
+                shared_instances: 0,
+                shared_members: 0,
+                share_at: Duration::ZERO,
+                duties: DUTIES.iter().map(|name| DutyWatch::new(name)).collect(),
+                solver: Solver::default(),
+                keeper: Keeper::default(),
+                keeper_epoch: None,
+                keeper_since: Duration::ZERO,
+                plan_at: Duration::ZERO,
+                seating_at: Duration::ZERO,
+                lost_since: BTreeMap::new(),
+                watchers: Vec::new(),
+                outputs: Vec::new(),
+            },
+        };
+        for event in events {
+            machine.board.note(event);
+        }
+        if fresh {
+            machine.board.write_slot(Vec::new());
+        }
+        let outputs = std::mem::take(&mut machine.board.outputs);
+        (machine, outputs)
+    }
+
+    pub fn node(&self) -> NodeId {
+        self.board.node
+    }
+
+    pub fn input(&mut self, now: Duration, input: LedgerInput) -> Vec<LedgerOutput> {
+        let board = &mut self.board;
+        board.now = now;
+        match input {
+            LedgerInput::Tick => tick(board),
+            LedgerInput::Heard { envelope } => hear(board, envelope),
+            LedgerInput::Synced { ticket } => synced(board, ticket),
+            LedgerInput::WriteFailed { ticket } => write_failed(board, ticket),
+            LedgerInput::Operator { ticket, call } => operator(board, ticket, call),
+            LedgerInput::Beat { ticket, beat } => {
+                let age = Duration::ZERO;
+                board.instances.hear(now, &HeardBeat { beat: beat.clone(), age });
+                let answer = OperatorAnswer::Beat {
+                    answer: duties::answer_beat(board, &beat),
+                };
+                board.outputs.push(LedgerOutput::Answer { ticket, answer });
+            }
+        }
+        answer_watchers(board);
+        std::mem::take(&mut board.outputs)
+    }
+}
+
+fn tick(board: &mut Blackboard) {
+    if board.ailing && board.now >= board.retry_write_at {
+        board.retry_write_at = board.now + Duration::from_secs(1);
+        board.write_slot(Vec::new());
+    }
+    council::tick_founding(board);
+    council::tick_rounds(board);
+    for id in board.instances.expire(board.now) {
+        board.note(Event::InstanceGone { id });
+    }
+    for node in board.members.expire(board.now) {
+        board.note(Event::MemberGone { node });
+    }
+    share_facts(board);
+    duties::tick_duties(board);
+    council::tick_proposers(board);
+}
+
+fn share_facts(board: &mut Blackboard) {
+    if board.now < board.share_at {
+        return;
+    }
+    board.share_at = board.now + SHARE_PERIOD;
+    let instances = board.instances.after(board.now, board.shared_instances);
+    let members = board.members.after(board.now, board.shared_members);
+    board.shared_instances = board.instances.learned();
+    board.shared_members = board.members.learned();
+    if instances.is_empty() && members.is_empty() {
+        return;
+    }
+    for to in board.other_ledgers() {
+        let message = Message::Facts {
+            instances: instances.clone(),
+            members: members.clone(),
+        };
+        board.send(to, message);
+    }
+}
+
+fn hear(board: &mut Blackboard, envelope: Envelope) {
+    let Envelope { from, reply_to, message } = envelope;
+    match message {
+        Message::Vote { vote } => council::hear_vote(board, from, reply_to, vote),
+        Message::RoundAsk { number } => council::hear_round_ask(board, reply_to, number),
+        Message::RoundAnswer { number, editions } => {
+            council::hear_round_answer(board, from, reply_to, number, editions);
+        }
+        Message::SeedAsk => council::hear_seed_ask(board, reply_to),
+        Message::SeedAnswer { area, founded, seats } => {
+            let seen = SeedSeen { node: from, area, founded, seats };
+            council::hear_seed_answer(board, reply_to, seen);
+        }
+        Message::FoundAsk { founding } => council::hear_found_ask(board, reply_to, founding),
+        Message::FoundTook { attempt } => council::hear_found_took(board, from, attempt),
+        Message::Facts { instances, members } => {
+            for heard in &instances {
+                board.instances.hear(board.now, heard);
+            }
+            for heard in &members {
+                board.members.hear(board.now, heard);
+            }
+        }
+        Message::Renew { renewal } => hear_renewal(board, reply_to, renewal),
+        Message::BeatNote { ticket, heard } => {
+            board.instances.hear(board.now, &heard);
+            let answer = duties::answer_beat(board, &heard.beat);
+            board.send(reply_to, Message::BeatReply { ticket, answer });
+        }
+        // Why nothing: these are for followers, and a ledger is none.
+        Message::Grant { .. }
+        | Message::BeatReply { .. }
+        | Message::Pull { .. }
+        | Message::View { .. } => {}
+    }
+}
+
+fn hear_renewal(board: &mut Blackboard, reply_to: SocketAddr, renewal: Renewal) {
+    let now = board.now;
+    let age = Duration::ZERO;
+    let member = renewal.member;
+    board.members.hear(now, &HeardMember { member: member.clone(), age });
+    // Why the place only counts under our own name: another ledger numbers its facts otherwise.
+    let (instances_after, members_after) = if renewal.ledger == board.node {
+        (renewal.instances_after, renewal.members_after)
+    } else {
+        (0, 0)
+    };
+    let news: Vec<Vote> = ALL_BOOKS
+        .iter()
+        .filter_map(|name| {
+            let held = member.editions.get(name.index()).copied().unwrap_or_default();
+            board.seat.news_after(*name, held)
+        })
+        .collect();
+    let round = match board.options.broken {
+        Broken::LoneGrants => Some((Duration::ZERO, ALL_BOOKS.map(|name| board.book(name).edition).to_vec())),
+        _ => board
+            .rounds
+            .latest(now)
+            .map(|round| (now.saturating_sub(round.started), round.editions.clone())),
+    };
+    let assured = round.is_some();
+    let (round_age, editions) = round.unwrap_or((PERMIT_SPAN, Vec::new()));
+    let granted = Granted {
+        number: renewal.number,
+        round_age,
+        editions,
+        instances: board.instances.after(now, instances_after),
+        instances_place: board.instances.learned(),
+        members: board.members.after(now, members_after),
+        members_place: board.members.learned(),
+        news,
+        assured,
+    };
+    board.send(reply_to, Message::Grant { granted });
+}
+
+fn synced(board: &mut Blackboard, ticket: u64) {
+    while board.held.front().is_some_and(|(held, _)| *held <= ticket) {
+        if let Some((_, outputs)) = board.held.pop_front() {
+            board.outputs.extend(outputs);
+        }
+    }
+    board.unsynced_slot.take_if(|slot| *slot <= ticket);
+    if board.ailing && ticket == board.next_write {
+        board.ailing = false;
+        board.note(Event::DiskWell);
+    }
+}
+
+fn write_failed(board: &mut Blackboard, ticket: u64) {
+    if board.unsynced_slot.take_if(|slot| *slot >= ticket).is_some() {
+        board.disk.same_slot_again();
+    }
+    // Why all of them: what was to be written after a lost line has a gap before it.
+    board.held.clear();
+    board.next_write += 1;
+    board.retry_write_at = board.now + Duration::from_secs(1);
+    if !board.ailing {
+        board.ailing = true;
+        board.note(Event::DiskRefused);
+    }
+}
+
+fn operator(board: &mut Blackboard, ticket: u64, call: OperatorCall) {
+    let answer = match call {
+        OperatorCall::Apply { change } => {
+            board.propose(BookName::Standing, Asker::Operator(ticket), change);
+            council::tick_proposers(board);
+            return;
+        }
+        OperatorCall::Read => {
+            if board.is_current(BookName::Standing) {
+                let book = board.book(BookName::Standing).clone();
+                OperatorAnswer::Standing { book }
+            } else {
+                OperatorAnswer::NotCurrent
+            }
+        }
+        OperatorCall::Watch { after, wait } => {
+            let until = board.now + wait;
+            board.watchers.push(Watcher { ticket, after, until });
+            return;
+        }
+        OperatorCall::Status => OperatorAnswer::Status {
+            status: Box::new(status(board)),
+        },
+    };
+    board.outputs.push(LedgerOutput::Answer { ticket, answer });
+}
+
+fn status(board: &Blackboard) -> LedgerStatus {
+    let cohort = board.book(BookName::Cohort);
+    LedgerStatus {
+        node: board.node,
+        area: board.options.area.clone(),
+        editions: ALL_BOOKS.map(|name| board.book(name).edition).to_vec(),
+        current: board.is_current(BookName::Standing),
+        ailing: board.ailing,
+        seats: cohort
+            .seats()
+            .iter()
+            .flat_map(|seats| &seats.holders)
+            .map(|holder| {
+                let alive = holder.node == board.node
+                    || board.liveness.alive(board.now, holder.node);
+                (holder.clone(), alive)
+            })
+            .collect(),
+        duties: DUTIES.map(|name| (name, cohort.duty(name).cloned())).to_vec(),
+        members: board.members.iter().cloned().collect(),
+        instances: board.instances.iter().cloned().collect(),
+        mapping: board.book(BookName::Placement).mapping().cloned(),
+    }
+}
+
+fn answer_watchers(board: &mut Blackboard) {
+    if board.watchers.is_empty() {
+        return;
+    }
+    let now = board.now;
+    let edition = board.book(BookName::Standing).edition;
+    let (ready, waiting): (Vec<Watcher>, Vec<Watcher>) = std::mem::take(&mut board.watchers)
+        .into_iter()
+        .partition(|watcher| watcher.after < edition || now >= watcher.until);
+    board.watchers = waiting;
+    for watcher in ready {
+        let news = board.seat.news_after(BookName::Standing, watcher.after);
+        let answer = OperatorAnswer::Changes { edition, news };
+        board.outputs.push(LedgerOutput::Answer {
+            ticket: watcher.ticket,
+            answer,
+        });
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/main.rs
@@ -0,0 +1,269 @@
+//! `ledger`: one of the three core processes.
+
+use ledger::prelude::*;
+use toolroom::prelude::*;
+
+const HELP: &str = "The core of caperworks: keeps the books, grants permits, does the duties, \
+and answers operators over HTTP";
+
+struct Worker {
+    machine: LedgerMachine,
+    port: ControlPort,
+    disk: std::sync::mpsc::Sender<(u64, Vec<DiskWrite>)>,
+    tickets: Arc<Tickets<OperatorAnswer>>,
+    inbox: Inbox<LedgerInput>,
+}
+
+impl Worker {
+    fn act(&mut self, outputs: Vec<LedgerOutput>) {
+        for output in outputs {
+            match output {
+                LedgerOutput::Send { to, message } if to == self.port.own() => {
+                    let envelope = Envelope {
+                        from: self.machine.node(),
+                        reply_to: to,
+                        message,
+                    };
+                    self.inbox.give(LedgerInput::Heard { envelope });
+                }
+                LedgerOutput::Send { to, message } => self.port.send(to, message),
+                LedgerOutput::Write { ticket, writes } => {
+                    if self.disk.send((ticket, writes)).is_err() {
+                        self.inbox.give(LedgerInput::WriteFailed { ticket });
+                    }
+                }
+                LedgerOutput::Answer { ticket, answer } => self.tickets.answer(ticket, answer),
+                LedgerOutput::Note { event } => tell(&event),
+            }
+        }
+    }
+}
+
+impl Host for Worker {
+    type Input = LedgerInput;
+
+    fn tick() -> LedgerInput {
+        LedgerInput::Tick
+    }
+
+    fn take(&mut self, now: Duration, input: LedgerInput) {
+        let outputs = self.machine.input(now, input);
+        self.act(outputs);
+    }
+}
+
+fn tell(what: &Event) {
+    match what {
+        Event::Founded => event(FOUNDED, ""),
+        Event::BookMoved { book, edition } => event(BOOK_MOVED, format!("{book} at {edition}")),
+        Event::DutyWanted { duty, epoch } => event(DUTY_WANTED, format!("{duty} under {epoch}")),
+        Event::KeeperTookUp { epoch } => event(KEEPER_TOOK_UP, format!("epoch {epoch}")),
+        Event::StateTooLarge { bytes } => event(STATE_TOO_LARGE, format!("{bytes} bytes")),
+        Event::DiskRefused => event(DISK_REFUSED, ""),
+        Event::DiskWell => event(DISK_WELL, ""),
+        Event::Damaged { why } => event(DISK_DAMAGED, why),
+        Event::InstanceGone { id } => event(INSTANCE_GONE, id),
+        Event::MemberGone { node } => event(MEMBER_GONE, node),
+        Event::SeatWanted { why } => event(SEAT_WANTED, why),
+    }
+}
+
+#[derive(Clone)]
+struct Desk {
+    inbox: Inbox<LedgerInput>,
+    tickets: Arc<Tickets<OperatorAnswer>>,
+}
+
+impl Desk {
+    async fn ask(&self, input: impl FnOnce(u64) -> LedgerInput) -> Option<OperatorAnswer> {
+        let (ticket, answer) = self.tickets.draw();
+        self.inbox.give(input(ticket));
+        answer.await.ok()
+    }
+
+    async fn call(&self, call: OperatorCall) -> Option<OperatorAnswer> {
+        self.ask(|ticket| LedgerInput::Operator { ticket, call }).await
+    }
+
+    async fn answer(&self, order: Request<Incoming>) -> Response<Body> {
+        let path = order.uri().path().to_string();
+        let query = order.uri().query().unwrap_or_default().to_string();
+        let method = order.method().clone();
+        let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+        match (&method, parts.as_slice()) {
+            (&Method::GET, ["ready"]) => json_answer(200, &jzon::object! { ready: true }),
+            (&Method::POST, ["v1", "standing"]) => self.apply(order).await,
+            (&Method::GET, ["v1", "standing"]) => self.read(None).await,
+            (&Method::GET, ["v1", "standing", kind, name]) => {
+                self.read(Some(format!("{kind}/{name}"))).await
+            }
+            (&Method::GET, ["v1", "changes"]) => self.watch(&query).await,
+            (&Method::GET, ["v1", "status"]) => match self.call(OperatorCall::Status).await {
+                Some(OperatorAnswer::Status { status }) => json_answer(200, &status_json(&status)),
+                _ => not_current(),
+            },
+            (&Method::POST, ["beats"]) => self.beat(order).await,
+            _ => json_answer(404, &jzon::object! { why: "there is no such resource" }),
+        }
+    }
+
+    async fn apply(&self, order: Request<Incoming>) -> Response<Body> {
+        let body = match small_body(order.into_body(), MOST_BYTES).await {
+            Ok(body) => body,
+            Err(status) => {
+                let why = if status == 413 {
+                    format!("a change set has at most {MOST_BYTES} bytes")
+                } else {
+                    "the body broke off".to_string()
+                };
+                let fault = [Fault::new("body", why)];
+                return json_answer(400, &verdict_json(&Verdict::Faulty(fault.to_vec())).1);
+            }
+        };
+        let verdict = match read_change(&String::from_utf8_lossy(&body)) {
+            Err(faults) => Verdict::Faulty(faults),
+            Ok(change) => match self.call(OperatorCall::Apply { change }).await {
+                Some(OperatorAnswer::Verdict { verdict }) => verdict,
+                _ => Verdict::Unknown,
+            },
+        };
+        let (status, json) = verdict_json(&verdict);
+        json_answer(status, &json)
+    }
+
+    async fn read(&self, key: Option<String>) -> Response<Body> {
+        let Some(OperatorAnswer::Standing { book }) = self.call(OperatorCall::Read).await else {
+            return not_current();
+        };
+        match key {
+            None => json_answer(200, &book_json(&book)),
+            Some(key) => match book.items.get(&key) {
+                Some(item) => json_answer(200, &item_json(&key, item.edition, &item.value)),
+                None => json_answer(404, &jzon::object! { why: format!("there is no {key}") }),
+            },
+        }
+    }
+
+    async fn watch(&self, query: &str) -> Response<Body> {
+        let field = |name: &str| -> Option<u64> {
+            query
+                .split('&')
+                .filter_map(|pair| pair.split_once('='))
+                .find(|(key, _)| *key == name)
+                .and_then(|(_, value)| value.parse().ok())
+        };
+        let Some(after) = field("after") else {
+            let why = "give after=EDITION, and wait_ms=MILLISECONDS if you want to wait";
+            return json_answer(400, &jzon::object! { why: why });
+        };
+        let wait = Duration::from_millis(field("wait_ms").unwrap_or(0).min(30_000));
+        let after = Edition(after);
+        match self.call(OperatorCall::Watch { after, wait }).await {
+            Some(OperatorAnswer::Changes { edition, news }) => {
+                json_answer(200, &news_json(edition, news))
+            }
+            _ => not_current(),
+        }
+    }
+
+    async fn beat(&self, order: Request<Incoming>) -> Response<Body> {
+        let beat = match small_body(order.into_body(), 64 * 1024).await {
+            Ok(body) => beats::read(&String::from_utf8_lossy(&body)),
+            Err(_) => Err("the body is too large or broke off".to_string()),
+        };
+        match beat {
+            Err(why) => json_answer(400, &jzon::object! { why: why }),
+            Ok(beat) => match self.ask(|ticket| LedgerInput::Beat { ticket, beat }).await {
+                Some(OperatorAnswer::Beat { answer }) => {
+                    json_answer(200, &beats::write_answer(&answer))
+                }
+                _ => not_current(),
+            },
+        }
+    }
+}
+
+fn not_current() -> Response<Body> {
+    let why = "this ledger cannot vouch for what it knows: no majority was heard of late";
+    json_answer(503, &jzon::object! { why: why })
+}
+
+fn news_json(edition: Edition, news: Option<Vote>) -> JsonValue {
+    let mut json = jzon::object! { edition: edition.0 };
+    match news {
+        Some(Vote::News { changes, .. }) => {
+            let list: Vec<JsonValue> = changes
+                .iter()
+                .map(|numbered| {
+                    let puts: Vec<JsonValue> = numbered
+                        .change
+                        .puts
+                        .iter()
+                        .map(|put| match &put.value {
+                            Some(value) => item_json(&put.key, numbered.edition, value),
+                            None => jzon::object! { dropped: put.key.as_str() },
+                        })
+                        .collect();
+                    jzon::object! {
+                        edition: numbered.edition.0,
+                        id: numbered.change.id.as_str(),
+                        items: puts,
+                    }
+                })
+                .collect();
+            json["changes"] = list.into();
+        }
+        Some(Vote::Whole { whole, .. }) => json["snapshot"] = book_json(&whole),
+        _ => json["changes"] = JsonValue::new_array(),
+    }
+    json
+}
+
+#[tokio::main(worker_threads = 2)]
+async fn main() -> anyhow::Result<()> {
+    let flags = read_flags(&place_flags().to_options().descr(HELP));
+    let place = Place::read_or_end(&flags, &["control", "serving", "area", "seeds", "data"]);
+    start_log()?;
+    let clock = Clock::start();
+    let slot_room = place.slot_megabytes * 1024 * 1024;
+    let log_room = place.log_megabytes * 1024 * 1024;
+    let folder = DataFolder::open(&place.data, slot_room, log_room)?;
+    let options = LedgerOptions::new(place.control, place.area.clone(), place.seeds.clone())
+        .disk_room(slot_room, log_room);
+    let (machine, outputs) = LedgerMachine::start(options, &folder.image()?, fresh_seed());
+    let (inbox, receiver) = Inbox::open();
+    let heard = inbox.clone();
+    let port = ControlPort::open(machine.node(), place.control, move |envelope| {
+        heard.give(LedgerInput::Heard { envelope });
+    })
+    .await?;
+    let written = inbox.clone();
+    let disk = folder.start_writer(move |ticket, well| {
+        written.give(if well {
+            LedgerInput::Synced { ticket }
+        } else {
+            LedgerInput::WriteFailed { ticket }
+        });
+    });
+    let tickets = Arc::new(Tickets::default());
+    event(STARTED, format!("ledger {} control {} serving {} area {}", machine.node(), place.control, place.serving, place.area));
+    let mut worker = Worker {
+        machine,
+        port,
+        disk,
+        tickets: tickets.clone(),
+        inbox: inbox.clone(),
+    };
+    worker.act(outputs);
+    open_desk(worker, clock, receiver, Duration::from_millis(25));
+    let desk = Desk { inbox, tickets };
+    let listener = listen(place.serving).await?;
+    let stop = Arc::new(AtomicBool::new(false));
+    tokio::spawn(serve_http(listener, stop, move |_, order| {
+        let desk = desk.clone();
+        async move { Ok(desk.answer(order).await) }
+    }));
+    asked_to_stop().await;
+    event(STOPPED, "");
+    Ok(())
+}
--- /dev/null
+++ b/crates/ledger/src/prelude.rs
@@ -0,0 +1,9 @@
+//! The one module that each file of this crate imports.
+
+pub use caperworks::messages;
+pub use caperworks::prelude::*;
+pub use jzon::JsonValue;
+
+pub use crate::blackboard::*;
+pub use crate::machine::*;
+pub use crate::orders::*;
--- /dev/null
+++ b/crates/mentor/src/lib.rs
@@ -0,0 +1,4 @@
+//! The agent beside each proxy as a state machine.
+
+pub mod machine;
+pub mod prelude;
--- /dev/null
+++ b/crates/mentor/src/machine.rs
@@ -0,0 +1,236 @@
+//! The mentor's state machine: holds the link to the core, hears beats, feeds its proxy.
+
+use crate::prelude::*;
+
+/// A proxy that has not asked for this long is down.
+const PROXY_SILENCE: Duration = Duration::from_millis(1200);
+/// How long a beat waits for the keeper's answer.
+const BEAT_PATIENCE: Duration = Duration::from_millis(700);
+
+#[derive(Debug, Clone)]
+pub struct MentorOptions {
+    pub control: SocketAddr,
+    pub area: Area,
+    pub seeds: Vec<SocketAddr>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum MentorInput {
+    Tick,
+    Heard { envelope: Envelope },
+    Beat { ticket: u64, beat: Beat },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum MentorOutput {
+    Send { to: SocketAddr, message: Message },
+    AnswerBeat { ticket: u64, answer: BeatAnswer },
+    Note { event: MentorEvent },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum MentorEvent {
+    Fresh,
+    Stale,
+    BookMoved { book: BookName, edition: Edition },
+    InstanceGone { id: InstanceId },
+}
+
+#[derive(Debug, Clone)]
+struct WaitingBeat {
+    ticket: u64,
+    number: u64,
+    until: Duration,
+}
+
+pub struct MentorMachine {
+    options: MentorOptions,
+    node: NodeId,
+    link: CoreLink,
+    counter: u64,
+    proxy: Option<(Duration, Pull)>,
+    beats: Vec<WaitingBeat>,
+    next_beat: u64,
+    was_fresh: bool,
+}
+
+impl MentorMachine {
+    pub fn start(options: MentorOptions, seed: u64) -> Self {
+        let mut chance = Chance::seeded(seed);
+        let node = NodeId(chance.draw() >> 1);
+        let link = CoreLink::new(options.seeds.clone(), chance.draw());
+        Self {
+            options,
+            node,
+            link,
+            counter: 0,
+            proxy: None,
+            beats: Vec::new(),
+            next_beat: 0,
+            was_fresh: false,
+        }
+    }
+
+    pub fn node(&self) -> NodeId {
+        self.node
+    }
+
+    pub fn link(&self) -> &CoreLink {
+        &self.link
+    }
+
+    /// Only for proving the observers: takes grants whose news has not arrived.
+    pub fn be_careless(&mut self) {
+        self.link.permit.careless = true;
+    }
+
+    fn member(&mut self, now: Duration) -> Member {
+        self.counter += 1;
+        let proxy = self
+            .proxy
+            .as_ref()
+            .filter(|(asked, _)| now.saturating_sub(*asked) < PROXY_SILENCE)
+            .map(|(_, pull)| pull);
+        Member {
+            node: self.node,
+            counter: self.counter,
+            role: Role::Proxy,
+            area: self.options.area.clone(),
+            control: self.options.control,
+            serving: proxy.map_or(self.options.control, |pull| pull.serving),
+            ready: proxy.is_some_and(|pull| pull.ready),
+            capacity: proxy.map_or(0, |pull| pull.capacity),
+            demand: proxy.map(|pull| pull.demand.clone()).unwrap_or_default(),
+            editions: self.link.editions(),
+        }
+    }
+
+    pub fn input(&mut self, now: Duration, input: MentorInput) -> Vec<MentorOutput> {
+        let mut outputs = Vec::new();
+        match input {
+            MentorInput::Tick => self.tick(now, &mut outputs),
+            MentorInput::Heard { envelope } => self.hear(now, envelope, &mut outputs),
+            MentorInput::Beat { ticket, beat } => self.beat(now, ticket, beat, &mut outputs),
+        }
+        let fresh = now < self.link.fresh_until();
+        if fresh != self.was_fresh {
+            self.was_fresh = fresh;
+            let event = if fresh { MentorEvent::Fresh } else { MentorEvent::Stale };
+            outputs.push(MentorOutput::Note { event });
+        }
+        outputs
+    }
+
+    fn tick(&mut self, now: Duration, outputs: &mut Vec<MentorOutput>) {
+        if self.link.due(now) {
+            let member = self.member(now);
+            let (to, message) = self.link.renew(now, member);
+            outputs.push(MentorOutput::Send { to, message });
+        }
+        self.link.members.expire(now);
+        for id in self.link.instances.expire(now) {
+            let event = MentorEvent::InstanceGone { id };
+            outputs.push(MentorOutput::Note { event });
+        }
+        self.beats.retain(|waiting| {
+            let over = now >= waiting.until;
+            if over {
+                outputs.push(MentorOutput::AnswerBeat {
+                    ticket: waiting.ticket,
+                    answer: BeatAnswer {
+                        holds: Vec::new(),
+                        release: Vec::new(),
+                    },
+                });
+            }
+            !over
+        });
+    }
+
+    fn hear(&mut self, now: Duration, envelope: Envelope, outputs: &mut Vec<MentorOutput>) {
+        match envelope.message {
+            Message::Grant { granted } => {
+                for book in self.link.granted(now, envelope.from, &granted) {
+                    let edition = self.link.shelf.follower().book(book).edition;
+                    let event = MentorEvent::BookMoved { book, edition };
+                    outputs.push(MentorOutput::Note { event });
+                }
+            }
+            Message::BeatReply { ticket, answer } => {
+                let Some(place) = self.beats.iter().position(|beat| beat.number == ticket) else {
+                    return;
+                };
+                let waiting = self.beats.swap_remove(place);
+                let ticket = waiting.ticket;
+                outputs.push(MentorOutput::AnswerBeat { ticket, answer });
+            }
+            Message::Pull { pull } => {
+                let view = self.view(now, &pull);
+                self.proxy = Some((now, pull));
+                outputs.push(MentorOutput::Send {
+                    to: envelope.reply_to,
+                    message: Message::View { view },
+                });
+            }
+            // Why nothing: all else is for ledgers.
+            _ => {}
+        }
+    }
+
+    fn view(&self, now: Duration, pull: &Pull) -> ProxyView {
+        let follower = self.link.shelf.follower();
+        let news = [
+            (BookName::Standing, pull.standing),
+            (BookName::Tenure, pull.tenure),
+        ]
+        .into_iter()
+        .filter_map(|(name, after)| self.link.shelf.news_after(name, after))
+        .collect();
+        let proxies = self.link.members.ready_proxies().count() as u32;
+        ProxyView {
+            number: pull.number,
+            left: self.link.fresh_until().saturating_sub(now),
+            news,
+            instances: self.link.instances.iter().cloned().collect(),
+            proxies: proxies.max(1),
+            standing: follower.book(BookName::Standing).edition,
+            tenure: follower.book(BookName::Tenure).edition,
+        }
+    }
+
+    fn beat(&mut self, now: Duration, ticket: u64, beat: Beat, outputs: &mut Vec<MentorOutput>) {
+        let heard = HeardBeat {
+            beat,
+            age: Duration::ZERO,
+        };
+        self.link.instances.hear(now, &heard);
+        self.next_beat += 1;
+        self.beats.push(WaitingBeat {
+            ticket,
+            number: self.next_beat,
+            until: now + BEAT_PATIENCE,
+        });
+        let keeper = self.link.keeper();
+        let ledger = self.link.ledger();
+        // Why both: only the keeper renews holds, but the fact must spread while there is none.
+        if let Some(to) = keeper {
+            outputs.push(MentorOutput::Send {
+                to,
+                message: Message::BeatNote {
+                    ticket: self.next_beat,
+                    heard: heard.clone(),
+                },
+            });
+        }
+        if keeper != Some(ledger) {
+            outputs.push(MentorOutput::Send {
+                to: ledger,
+                message: Message::BeatNote {
+                    // Why zero: this one's answer is not the keeper's and must settle nothing.
+                    ticket: if keeper.is_none() { self.next_beat } else { 0 },
+                    heard,
+                },
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/mentor/src/main.rs
@@ -0,0 +1,102 @@
+//! `mentor`: the agent beside a proxy.
+
+use mentor::prelude::*;
+use toolroom::prelude::*;
+
+const HELP: &str = "The agent beside each proxy: holds the link to the core, hears instances' \
+beats over HTTP, and feeds the proxy over loopback";
+
+struct Worker {
+    machine: MentorMachine,
+    port: ControlPort,
+    tickets: Arc<Tickets<BeatAnswer>>,
+}
+
+impl Host for Worker {
+    type Input = MentorInput;
+
+    fn tick() -> MentorInput {
+        MentorInput::Tick
+    }
+
+    fn take(&mut self, now: Duration, input: MentorInput) {
+        for output in self.machine.input(now, input) {
+            match output {
+                MentorOutput::Send { to, message } => self.port.send(to, message),
+                MentorOutput::AnswerBeat { ticket, answer } => self.tickets.answer(ticket, answer),
+                MentorOutput::Note { event: what } => match what {
+                    MentorEvent::Fresh => event(FRESH, ""),
+                    MentorEvent::Stale => event(STALE, ""),
+                    MentorEvent::BookMoved { book, edition } => {
+                        event(BOOK_MOVED, format!("{book} at {edition}"));
+                    }
+                    MentorEvent::InstanceGone { id } => event(INSTANCE_GONE, id),
+                },
+            }
+        }
+    }
+}
+
+async fn answer(
+    inbox: Inbox<MentorInput>,
+    tickets: Arc<Tickets<BeatAnswer>>,
+    order: Request<Incoming>,
+) -> Response<Body> {
+    match (order.method(), order.uri().path()) {
+        (&Method::GET, "/ready") => json_answer(200, &jzon::object! { ready: true }),
+        (&Method::POST, "/beats") => {
+            let beat = match small_body(order.into_body(), 64 * 1024).await {
+                Ok(body) => beats::read(&String::from_utf8_lossy(&body)),
+                Err(_) => Err("the body is too large or broke off".to_string()),
+            };
+            let beat = match beat {
+                Ok(beat) => beat,
+                Err(why) => return json_answer(400, &jzon::object! { why: why }),
+            };
+            let (ticket, answer) = tickets.draw();
+            inbox.give(MentorInput::Beat { ticket, beat });
+            match answer.await {
+                Ok(answer) => json_answer(200, &beats::write_answer(&answer)),
+                Err(_) => json_answer(503, &jzon::object! { why: "this agent is about to stop" }),
+            }
+        }
+        _ => json_answer(404, &jzon::object! { why: "there is no such resource" }),
+    }
+}
+
+#[tokio::main(worker_threads = 2)]
+async fn main() -> anyhow::Result<()> {
+    let flags = read_flags(&place_flags().to_options().descr(HELP));
+    let place = Place::read_or_end(&flags, &["control", "serving", "area", "seeds"]);
+    start_log()?;
+    let clock = Clock::start();
+    let options = MentorOptions {
+        control: place.control,
+        area: place.area.clone(),
+        seeds: place.seeds.clone(),
+    };
+    let machine = MentorMachine::start(options, fresh_seed());
+    let (inbox, receiver) = Inbox::open();
+    let heard = inbox.clone();
+    let port = ControlPort::open(machine.node(), place.control, move |envelope| {
+        heard.give(MentorInput::Heard { envelope });
+    })
+    .await?;
+    event(STARTED, format!("mentor {} control {} area {}", machine.node(), place.control, place.area));
+    let tickets = Arc::new(Tickets::default());
+    let worker = Worker {
+        machine,
+        port,
+        tickets: tickets.clone(),
+    };
+    open_desk(worker, clock, receiver, Duration::from_millis(25));
+    let listener = listen(place.serving).await?;
+    let stop = Arc::new(AtomicBool::new(false));
+    tokio::spawn(serve_http(listener, stop, move |_, order| {
+        let answering = answer(inbox.clone(), tickets.clone(), order);
+        async move { Ok(answering.await) }
+    }));
+    asked_to_stop().await;
+    event(STOPPED, "");
+    Ok(())
+}
--- /dev/null
+++ b/crates/playout/src/carrier.rs
@@ -0,0 +1,552 @@
+//! Carries orders from callers to instances along the order's state chart.
+
+use crate::prelude::*;
+use std::sync::RwLock;
+
+/// Bodies and answers up to this size are held whole, so that a shot can be repeated and a
+/// truncated answer never reaches the caller.
+const SMALL: u64 = 64 * 1024;
+const METER_SHARDS: usize = 8;
+/// How long the demand meter looks back.
+const METER_SPAN: Duration = Duration::from_secs(4);
+
+#[derive(Default)]
+struct Metered {
+    /// Orders by second.
+    seconds: VecDeque<(u64, u32)>,
+    nearest: Duration,
+}
+
+pub struct Carrier {
+    pub clock: Clock,
+    pub area: Area,
+    pub serving: SocketAddr,
+    pub capacity: u32,
+    pub stopping: AtomicBool,
+    /// Set when even new orders are refused, just before the end.
+    pub closed: AtomicBool,
+    pub under_way: AtomicU32,
+    pub circuits: InstanceCircuits,
+    orders: AtomicU64,
+    seed: u64,
+    knowledge: RwLock<Arc<ProxyKnowledge>>,
+    shards: RwLock<HashMap<PoolName, Arc<Mutex<PoolShard>>>>,
+    meter: [Mutex<HashMap<(String, RuleName), Metered>>; METER_SHARDS],
+}
+
+/// The caller's body, in the form it can be sent in.
+enum OrderBody {
+    Held(Bytes),
+    Streaming(Option<Body>),
+}
+
+/// What one shot brought back.
+enum ShotAnswer {
+    Ended(ShotEnd),
+    Refused(Mishap),
+    Answered(Response<Body>),
+}
+
+impl Carrier {
+    pub fn new(clock: Clock, place: &Place) -> Self {
+        Self {
+            clock,
+            area: place.area.clone(),
+            serving: place.serving,
+            capacity: place.capacity,
+            stopping: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
+            under_way: AtomicU32::new(0),
+            circuits: InstanceCircuits::default(),
+            orders: AtomicU64::new(0),
+            seed: fresh_seed(),
+            knowledge: RwLock::default(),
+            shards: RwLock::default(),
+            meter: Default::default(),
+        }
+    }
+
+    pub fn knowledge(&self) -> Arc<ProxyKnowledge> {
+        self.knowledge
+            .read()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+            .clone()
+    }
+
+    pub fn shard(&self, pool: &PoolName) -> Arc<Mutex<PoolShard>> {
+        let read = self.shards.read().unwrap_or_else(std::sync::PoisonError::into_inner);
+        if let Some(shard) = read.get(pool) {
+            return shard.clone();
+        }
+        drop(read);
+        let mut write = self.shards.write().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let seed = self.seed ^ steady_hash(pool.as_str());
+        write
+            .entry(pool.clone())
+            .or_insert_with(|| Arc::new(Mutex::new(PoolShard::new(seed))))
+            .clone()
+    }
+
+    /// Takes what the agent told; circuits to lives that are over are closed.
+    pub fn take(&self, asked_at: Duration, view: &ProxyView) {
+        let mut next = (*self.knowledge()).clone();
+        next.take(asked_at, view);
+        self.circuits.keep_only(&next.instances);
+        let shards = self.shards.read().unwrap_or_else(std::sync::PoisonError::into_inner);
+        for shard in shards.values() {
+            locked(shard).keep_only(&next.instances);
+        }
+        drop(shards);
+        *self.knowledge.write().unwrap_or_else(std::sync::PoisonError::into_inner) = Arc::new(next);
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let knowledge = self.knowledge();
+        !self.stopping.load(Ordering::SeqCst)
+            && self.clock.now() < knowledge.fresh_until
+            && !knowledge.closed.contains(&self.area)
+    }
+
+    fn measure(&self, now: Duration, far_end: &FarEnd, rule: &RuleName) {
+        let group = group_of(far_end.address.ip());
+        let shard = (steady_hash(&group) % METER_SHARDS as u64) as usize;
+        let mut meter = locked(&self.meter[shard]);
+        let metered = meter.entry((group, rule.clone())).or_default();
+        let second = now.as_secs();
+        match metered.seconds.back_mut() {
+            Some(last) if last.0 == second => last.1 += 1,
+            _ => metered.seconds.push_back((second, 1)),
+        }
+        let round_trip = far_end.round_trip;
+        if !round_trip.is_zero() && (metered.nearest.is_zero() || round_trip < metered.nearest) {
+            metered.nearest = round_trip;
+        }
+    }
+
+    /// What was measured of late: orders a second by group and rule, and how far the group is.
+    pub fn demand(&self) -> Vec<Demand> {
+        let oldest = self.clock.now().as_secs().saturating_sub(METER_SPAN.as_secs());
+        let mut demand = Vec::new();
+        for shard in &self.meter {
+            let mut meter = locked(shard);
+            meter.retain(|(group, rule), metered| {
+                while metered.seconds.front().is_some_and(|first| first.0 < oldest) {
+                    metered.seconds.pop_front();
+                }
+                let orders: u32 = metered.seconds.iter().map(|second| second.1).sum();
+                if orders > 0 {
+                    demand.push(Demand {
+                        group: group.clone(),
+                        rule: rule.clone(),
+                        orders: orders.div_ceil(METER_SPAN.as_secs() as u32),
+                        locality: metered.nearest,
+                    });
+                }
+                orders > 0
+            });
+        }
+        demand
+    }
+
+    /// Answers one order.
+    pub async fn carry(
+        self: Arc<Self>,
+        far_end: FarEnd,
+        order: Request<Incoming>,
+    ) -> Result<Response<Body>, std::io::Error> {
+        if order.uri().path() == "/caperworks/ready" {
+            let ready = self.is_ready();
+            let json = jzon::object! { ready: ready };
+            return Ok(json_answer(if ready { 200 } else { 503 }, &json));
+        }
+        let under_way = UnderWay::begin(&self);
+        let read = matches!(*order.method(), Method::GET | Method::HEAD);
+        let mut chart = OrderChart::received(read);
+        match self.work(far_end, order, &mut chart, under_way).await {
+            Ok(answer) => Ok(answer),
+            Err(mishap) => {
+                chart.refuse(mishap);
+                Ok(mishap_answer(mishap, chart.told(mishap)))
+            }
+        }
+    }
+
+    async fn work(
+        self: &Arc<Self>,
+        far_end: FarEnd,
+        order: Request<Incoming>,
+        chart: &mut OrderChart,
+        under_way: UnderWay,
+    ) -> Result<Response<Body>, Mishap> {
+        if self.closed.load(Ordering::SeqCst) {
+            return Err(Mishap::Leaving);
+        }
+        let (head, body) = order.into_parts();
+        let host = checked_framing(&head)?;
+        let knowledge = self.knowledge();
+        let now = self.clock.now();
+        let path = head.uri.path();
+        let Some((name, rule)) = knowledge.table.find(&host, path).cloned() else {
+            // Why not "no rule" when stale: a rule may have come that we have not heard of.
+            let stale = now >= knowledge.fresh_until;
+            return Err(if stale { Mishap::Stale } else { Mishap::NoRule });
+        };
+        chart.matched(now, &rule);
+        self.measure(now, &far_end, &name);
+        knowledge.admits(now, &self.area, &rule)?;
+        let key = match &rule.key_header {
+            None => None,
+            Some(header) => {
+                let mut values = head.headers.get_all(header.as_str()).iter();
+                let key = values.next().and_then(|value| value.to_str().ok());
+                match (key, values.next()) {
+                    (Some(key), None) if !key.is_empty() => Some(key.to_string()),
+                    _ => return Err(Mishap::MissingKey),
+                }
+            }
+        };
+        let over = Arc::new(AtomicBool::new(false));
+        let mut body = self.hold_body(body, &rule, &over, chart).await?;
+        chart.admitted(matches!(body, OrderBody::Held(_)));
+        drop(knowledge);
+        let number = self.orders.fetch_add(1, Ordering::Relaxed);
+        let order_id = format!("{:x}-{number:x}", mix(self.seed));
+        let shard = self.shard(&rule.pool);
+        locked(&shard).first_shot(now);
+        let mut tried: Vec<InstanceId> = Vec::new();
+        let mut under_way = Some(under_way);
+        loop {
+            let now = self.clock.now();
+            if now >= chart.deadline() {
+                return Err(Mishap::LateBeforeSending);
+            }
+            let knowledge = self.knowledge();
+            knowledge.admits(now, &self.area, &rule)?;
+            let target = {
+                let mut shard = locked(&shard);
+                let target =
+                    shard.choose(now, &knowledge, &self.area, &rule, key.as_deref(), &tried)?;
+                shard.begin(&target);
+                target
+            };
+            chart.chosen();
+            let guard = ShotGuard {
+                proxy: self.clone(),
+                pool: rule.pool.clone(),
+                target: target.clone(),
+                good: false,
+                load: None,
+            };
+            let order = Outgoing {
+                head: &head,
+                far_end: &far_end,
+                rule: &rule,
+                order_id: &order_id,
+            };
+            let shot = self
+                .shoot(order, guard, &mut body, chart, &mut under_way)
+                .await;
+            let end = match shot {
+                ShotAnswer::Answered(answer) => {
+                    chart.shot_ended(self.clock.now(), ShotEnd::Answered, || false);
+                    chart.done();
+                    return Ok(answer);
+                }
+                ShotAnswer::Refused(mishap) => return Err(mishap),
+                ShotAnswer::Ended(end) => end,
+            };
+            if over.load(Ordering::SeqCst) {
+                // Why unknown: bytes have left, though the instance cannot have had all of them.
+                chart.refuse(Mishap::LostAfterSending);
+                return Ok(told_answer(413, "unknown", Mishap::BodyTooLarge.word(), None));
+            }
+            tried.push(target.instance);
+            let now = self.clock.now();
+            match chart.shot_ended(now, end, || locked(&shard).take_retry(now)) {
+                NextStep::ShootAgain => {}
+                NextStep::Answer(mishap) => return Err(mishap),
+                NextStep::PassOn => return Err(Mishap::Garbage),
+            }
+        }
+    }
+
+    /// Holds a small body whole; a large or open-ended one streams under the rule's limit.
+    async fn hold_body(
+        &self,
+        body: Incoming,
+        rule: &Rule,
+        over: &Arc<AtomicBool>,
+        chart: &OrderChart,
+    ) -> Result<OrderBody, Mishap> {
+        match body.size_hint().exact() {
+            Some(length) if length > rule.body_limit => Err(Mishap::BodyTooLarge),
+            Some(length) if length <= SMALL => {
+                let left = chart.deadline().saturating_sub(self.clock.now());
+                match tokio::time::timeout(left, body.collect()).await {
+                    Ok(Ok(collected)) => Ok(OrderBody::Held(collected.to_bytes())),
+                    Ok(Err(_)) => Err(Mishap::BadFraming),
+                    Err(_) => Err(Mishap::LateBeforeSending),
+                }
+            }
+            _ => {
+                let counted = Counted {
+                    inner: body,
+                    left: rule.body_limit,
+                    over: over.clone(),
+                };
+                Ok(OrderBody::Streaming(Some(counted.boxed())))
+            }
+        }
+    }
+
+    async fn shoot(
+        self: &Arc<Self>,
+        outgoing: Outgoing<'_>,
+        mut guard: ShotGuard,
+        body: &mut OrderBody,
+        chart: &mut OrderChart,
+        under_way: &mut Option<UnderWay>,
+    ) -> ShotAnswer {
+        let target = guard.target.clone();
+        let key = (target.instance.clone(), target.incarnation, target.address);
+        let patience = chart.deadline().saturating_sub(self.clock.now());
+        let Some(mut circuit) = self.circuits.open(&key, patience).await else {
+            return ShotAnswer::Ended(ShotEnd::NotOpened);
+        };
+        let sending = match body {
+            OrderBody::Held(bytes) => whole(bytes.clone()),
+            OrderBody::Streaming(stream) => match stream.take() {
+                Some(stream) => stream,
+                None => return ShotAnswer::Ended(ShotEnd::Lost),
+            },
+        };
+        // The last moment before the first byte: everything that may have changed is asked again.
+        let now = self.clock.now();
+        let good = self.knowledge().still_good(now, &self.area, outgoing.rule, &target);
+        if let Err(mishap) = good {
+            self.circuits.give_back(key, circuit);
+            guard.good = true;
+            return ShotAnswer::Refused(mishap);
+        }
+        let left = chart.deadline().saturating_sub(now);
+        let request = match outgoing.request(&target, left, sending) {
+            Ok(request) => request,
+            Err(mishap) => return ShotAnswer::Refused(mishap),
+        };
+        chart.shooting();
+        chart.sent();
+        let sent = tokio::time::timeout(left, circuit.sender.try_send_request(request)).await;
+        let answer = match sent {
+            Err(_) => return ShotAnswer::Ended(ShotEnd::Late),
+            Ok(Err(mut mishap)) => {
+                // Why this is proof: the library hands the order back only if it began no write.
+                return ShotAnswer::Ended(match mishap.take_message() {
+                    Some(unsent) => {
+                        if let OrderBody::Streaming(stream) = body {
+                            *stream = Some(unsent.into_body());
+                        }
+                        guard.good = true;
+                        ShotEnd::NotOpened
+                    }
+                    None if mishap.error().is_parse() => ShotEnd::Garbage,
+                    None => ShotEnd::Lost,
+                });
+            }
+            Ok(Ok(answer)) => answer,
+        };
+        guard.load = header_text(answer.headers(), LOAD_HEADER).and_then(|load| load.parse().ok());
+        let told = header_text(answer.headers(), OUTCOME_HEADER);
+        if answer.status() == StatusCode::MISDIRECTED_REQUEST || told == Some("not-run") {
+            guard.good = true;
+            return ShotAnswer::Ended(ShotEnd::RefusedByInstance);
+        }
+        let echoed = header_text(answer.headers(), ORDER_HEADER);
+        if echoed.is_some_and(|echoed| echoed != outgoing.order_id) || !well_framed(&answer) {
+            return ShotAnswer::Ended(ShotEnd::Garbage);
+        }
+        self.pass_on(answer, circuit, key, guard, chart, under_way).await
+    }
+
+    async fn pass_on(
+        self: &Arc<Self>,
+        answer: Response<Incoming>,
+        circuit: Circuit,
+        key: InstanceKey,
+        mut guard: ShotGuard,
+        chart: &OrderChart,
+        under_way: &mut Option<UnderWay>,
+    ) -> ShotAnswer {
+        let (mut head, body) = answer.into_parts();
+        strip_hop_by_hop(&mut head.headers);
+        strip_own(&mut head.headers);
+        let left = chart.deadline().saturating_sub(self.clock.now());
+        let small = body.size_hint().exact().is_some_and(|length| length <= SMALL);
+        if small {
+            return match tokio::time::timeout(left, body.collect()).await {
+                Ok(Ok(collected)) => {
+                    guard.good = true;
+                    self.circuits.give_back(key, circuit);
+                    let body = whole(collected.to_bytes());
+                    ShotAnswer::Answered(Response::from_parts(head, body))
+                }
+                Ok(Err(_)) => ShotAnswer::Ended(ShotEnd::Garbage),
+                Err(_) => ShotAnswer::Ended(ShotEnd::Late),
+            };
+        }
+        let Some(under_way) = under_way.take() else {
+            return ShotAnswer::Ended(ShotEnd::Lost);
+        };
+        let passing = Passing {
+            inner: body,
+            circuit: Some(circuit),
+            key,
+            guard,
+            deadline: Box::pin(tokio::time::sleep(left)),
+            under_way,
+        };
+        ShotAnswer::Answered(Response::from_parts(head, passing.boxed()))
+    }
+}
+
+/// What goes to an instance with every shot.
+struct Outgoing<'order> {
+    head: &'order hyper::http::request::Parts,
+    far_end: &'order FarEnd,
+    rule: &'order Rule,
+    order_id: &'order str,
+}
+
+impl Outgoing<'_> {
+    fn request(&self, target: &Target, left: Duration, body: Body) -> Result<Request<Body>, Mishap> {
+        let path = self
+            .head
+            .uri
+            .path_and_query()
+            .map_or("/", hyper::http::uri::PathAndQuery::as_str);
+        let mut request = Request::builder()
+            .method(self.head.method.clone())
+            .uri(path)
+            .body(body)
+            .map_err(|_| Mishap::BadFraming)?;
+        let mut headers = self.head.headers.clone();
+        strip_hop_by_hop(&mut headers);
+        strip_own(&mut headers);
+        headers.remove("expect");
+        // Why removed: the framing towards the instance follows from the body, never from the
+        // caller's word.
+        headers.remove("content-length");
+        let mut set = |name: &'static str, text: String| -> Result<(), Mishap> {
+            let value = HeaderValue::from_str(&text).map_err(|_| Mishap::BadFraming)?;
+            headers.insert(name, value);
+            Ok(())
+        };
+        set(INSTANCE_HEADER, target.instance.to_string())?;
+        set(INCARNATION_HEADER, target.incarnation.to_string())?;
+        set(ORDER_HEADER, self.order_id.to_string())?;
+        set(DEADLINE_HEADER, left.as_millis().to_string())?;
+        set("x-forwarded-for", self.far_end.address.ip().to_string())?;
+        if let Some((slice, epoch)) = target.slice {
+            set(SLICE_HEADER, slice.to_string())?;
+            set(EPOCH_HEADER, epoch.to_string())?;
+        }
+        *request.headers_mut() = headers;
+        Ok(request)
+    }
+}
+
+/// Refuses what could be read in two ways; says the host.
+fn checked_framing(head: &hyper::http::request::Parts) -> Result<String, Mishap> {
+    let count = |name: &str| head.headers.get_all(name).iter().count();
+    let both = count("transfer-encoding") > 0 && count("content-length") > 0;
+    let bad = both
+        || count("content-length") > 1
+        || count("transfer-encoding") > 1
+        || count("host") != 1
+        || head.method == Method::CONNECT
+        || head.version != hyper::Version::HTTP_11
+        || count("upgrade") > 0;
+    let host = header_text(&head.headers, "host");
+    match host {
+        Some(host) if !bad => Ok(host.to_string()),
+        _ => Err(Mishap::BadFraming),
+    }
+}
+
+fn header_text<'headers>(headers: &'headers HeaderMap, name: &str) -> Option<&'headers str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Whether the end of the answer can be told from its being cut off.
+fn well_framed(answer: &Response<Incoming>) -> bool {
+    let status = answer.status();
+    let bodiless = status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
+    let chunked = answer
+        .headers()
+        .get("transfer-encoding")
+        .is_some_and(|coding| coding.as_bytes().eq_ignore_ascii_case(b"chunked"));
+    let measured = answer.headers().get_all("content-length").iter().count() == 1;
+    !status.is_informational() && (bodiless || chunked != measured)
+}
+
+fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all("connection")
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        headers.remove(name.as_str());
+    }
+    for name in [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ] {
+        headers.remove(name);
+    }
+}
+
+/// Why both ways: a caller must not speak in our name to an instance, nor an instance to a caller.
+fn strip_own(headers: &mut HeaderMap) {
+    let own: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with("caperworks-"))
+        .cloned()
+        .collect();
+    for name in own {
+        headers.remove(name);
+    }
+}
+
+/// The final answer for an order that was refused or lost, given at once.
+fn mishap_answer(mishap: Mishap, told: Told) -> Response<Body> {
+    let told = match told {
+        Told::NotRun => "not-run",
+        Told::Unknown => "unknown",
+    };
+    told_answer(mishap.status(), told, mishap.word(), mishap.retry_after())
+}
+
+fn told_answer(
+    status: u16,
+    told: &'static str,
+    why: &str,
+    retry_after: Option<Duration>,
+) -> Response<Body> {
+    let mut answer = json_answer(status, &jzon::object! { outcome: told, why: why });
+    let headers = answer.headers_mut();
+    headers.insert(OUTCOME_HEADER, HeaderValue::from_static(told));
+    headers.remove("retry-after");
+    if let Some(after) = retry_after {
+        headers.insert("retry-after", HeaderValue::from(after.as_secs()));
+    }
+    answer
+}
--- /dev/null
+++ b/crates/playout/src/passing.rs
@@ -0,0 +1,137 @@
+//! An answer on its way through: passed on piece by piece, and broken off rather than cut short.
+
+use crate::prelude::*;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+/// One shot under way; tells the pool's shard when it is over, however that comes about.
+pub struct ShotGuard {
+    pub proxy: Arc<Carrier>,
+    pub pool: PoolName,
+    pub target: Target,
+    pub good: bool,
+    pub load: Option<u32>,
+}
+
+impl Drop for ShotGuard {
+    fn drop(&mut self) {
+        let now = self.proxy.clock.now();
+        let shard = self.proxy.shard(&self.pool);
+        locked(&shard).end(now, &self.target, self.good, self.load);
+    }
+}
+
+/// Counts an order that is under way, for the polite stop.
+pub struct UnderWay(pub Arc<Carrier>);
+
+impl UnderWay {
+    pub fn begin(proxy: &Arc<Carrier>) -> Self {
+        proxy.under_way.fetch_add(1, Ordering::SeqCst);
+        Self(proxy.clone())
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        self.0.under_way.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// The body of an instance's answer, streamed to the caller.
+pub struct Passing {
+    pub inner: Incoming,
+    pub circuit: Option<Circuit>,
+    pub key: InstanceKey,
+    pub guard: ShotGuard,
+    pub deadline: Pin<Box<tokio::time::Sleep>>,
+    pub under_way: UnderWay,
+}
+
+impl HttpBody for Passing {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        let broken = |why: &str| Poll::Ready(Some(Err(std::io::Error::other(why.to_string()))));
+        match Pin::new(&mut self.inner).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
+            Poll::Ready(Some(Err(mishap))) => {
+                // Why an error and not an end: the caller must see a broken circuit, not a success.
+                event(BODY_BROKEN, &mishap);
+                self.circuit = None;
+                broken("the instance's answer broke off")
+            }
+            Poll::Ready(None) => {
+                self.guard.good = true;
+                if let Some(circuit) = self.circuit.take() {
+                    let key = self.key.clone();
+                    self.under_way.0.circuits.give_back(key, circuit);
+                }
+                Poll::Ready(None)
+            }
+            Poll::Pending => {
+                if self.deadline.as_mut().poll(context).is_ready() {
+                    event(BODY_BROKEN, "the deadline passed");
+                    self.circuit = None;
+                    return broken("the deadline passed");
+                }
+                Poll::Pending
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        // Why not the inner's word: the circuit is only given back when the end was polled.
+        false
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+/// The caller's body on its way to an instance: counted against the rule's limit.
+pub struct Counted {
+    pub inner: Incoming,
+    pub left: u64,
+    pub over: Arc<AtomicBool>,
+}
+
+impl HttpBody for Counted {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        match Pin::new(&mut self.inner).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => {
+                let length = frame.data_ref().map_or(0, Bytes::len) as u64;
+                if length > self.left {
+                    self.over.store(true, Ordering::SeqCst);
+                    // Why an error: it breaks the circuit, so the instance never has a whole order.
+                    return Poll::Ready(Some(Err(std::io::Error::other("over the body limit"))));
+                }
+                self.left -= length;
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(mishap))) => {
+                Poll::Ready(Some(Err(std::io::Error::other(mishap))))
+            }
+            Poll::Ready(None) => Poll::Ready(None),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        self.inner.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/toolroom/src/disk.rs
@@ -0,0 +1,121 @@
+//! The data folder: slot and log files of a fixed size, written and synced on a thread of its own.
+
+use crate::prelude::*;
+use std::fs::{File, OpenOptions};
+use std::os::unix::fs::FileExt;
+
+const BATCH: usize = 64;
+
+pub struct DataFolder {
+    slots: [File; 2],
+    log: File,
+    /// Held open for as long as the process lives, so that no second one writes here.
+    _lock: File,
+}
+
+fn laid_out(path: &Path, room: u64) -> anyhow::Result<File> {
+    let file = OpenOptions::new()
+        .read(true)
+        .write(true)
+        .create(true)
+        .truncate(false)
+        .open(path)
+        .with_context(|| format!("cannot open {}", path.display()))?;
+    let present = file.metadata()?.len();
+    if present < room {
+        // Why real zeros: a hole takes no room, and the disk could be full when it is needed.
+        let blank = vec![0_u8; 256 * 1024];
+        let mut offset = present;
+        while offset < room {
+            let part = (room - offset).min(blank.len() as u64) as usize;
+            file.write_all_at(&blank[..part], offset)
+                .with_context(|| format!("cannot lay out {}", path.display()))?;
+            offset += part as u64;
+        }
+        file.sync_all()?;
+    }
+    Ok(file)
+}
+
+impl DataFolder {
+    pub fn open(folder: &Path, slot_room: u64, log_room: u64) -> anyhow::Result<Self> {
+        std::fs::create_dir_all(folder)
+            .with_context(|| format!("cannot make the data folder {}", folder.display()))?;
+        let lock = File::create(folder.join("lock"))?;
+        if lock.try_lock().is_err() {
+            bail!("the data folder {} is in use by another process", folder.display());
+        }
+        let opened = Self {
+            slots: [
+                laid_out(&folder.join("slot-1"), slot_room)?,
+                laid_out(&folder.join("slot-2"), slot_room)?,
+            ],
+            log: laid_out(&folder.join("log"), log_room)?,
+            _lock: lock,
+        };
+        // Why the folder too: the names of new files last only once it is synced.
+        File::open(folder)?.sync_all()?;
+        Ok(opened)
+    }
+
+    pub fn image(&self) -> anyhow::Result<DiskImage> {
+        let read = |file: &File| -> anyhow::Result<Vec<u8>> {
+            let mut bytes = vec![0; file.metadata()?.len() as usize];
+            file.read_exact_at(&mut bytes, 0)?;
+            Ok(bytes)
+        };
+        Ok(DiskImage {
+            slots: [read(&self.slots[0])?, read(&self.slots[1])?],
+            log: read(&self.log)?,
+        })
+    }
+
+    fn carry_out(&self, write: &DiskWrite, log_unsynced: &mut bool) -> std::io::Result<()> {
+        match write {
+            DiskWrite::Log { offset, bytes } => {
+                self.log.write_all_at(bytes, *offset)?;
+                *log_unsynced = true;
+                Ok(())
+            }
+            DiskWrite::Slot { second, bytes } => {
+                let slot = &self.slots[usize::from(*second)];
+                slot.write_all_at(bytes, 0)?;
+                slot.sync_data()
+            }
+        }
+    }
+
+    /// Carries out writes in order; several are synced together when they come close together.
+    pub fn start_writer(
+        self,
+        done: impl Fn(u64, bool) + Send + 'static,
+    ) -> std::sync::mpsc::Sender<(u64, Vec<DiskWrite>)> {
+        let (sender, receiver) = std::sync::mpsc::channel::<(u64, Vec<DiskWrite>)>();
+        std::thread::spawn(move || {
+            while let Ok(first) = receiver.recv() {
+                let mut batch = vec![first];
+                while batch.len() < BATCH {
+                    match receiver.try_recv() {
+                        Ok(next) => batch.push(next),
+                        Err(_) => break,
+                    }
+                }
+                let mut log_unsynced = false;
+                let mut well = true;
+                for (_, writes) in &batch {
+                    for write in writes {
+                        // Why stop at the first refusal: what follows leans on it.
+                        well = well && self.carry_out(write, &mut log_unsynced).is_ok();
+                    }
+                }
+                if log_unsynced {
+                    well = self.log.sync_data().is_ok() && well;
+                }
+                for (ticket, _) in &batch {
+                    done(*ticket, well);
+                }
+            }
+        });
+        sender
+    }
+}
--- /dev/null
+++ b/crates/toolroom/src/events.rs
@@ -0,0 +1,88 @@
+//! Numbered events: every line in a log carries a number from this catalogue.
+
+use crate::prelude::*;
+
+/// One kind of event.
+#[derive(Debug, Clone, Copy)]
+pub struct EventKind {
+    pub number: u16,
+    pub level: log::Level,
+    pub name: &'static str,
+    pub meaning: &'static str,
+}
+
+macro_rules! catalogue {
+    ($($number:literal $level:ident $name:ident $meaning:literal;)*) => {
+        $(pub const $name: EventKind = EventKind {
+            number: $number,
+            level: log::Level::$level,
+            name: stringify!($name),
+            meaning: $meaning,
+        };)*
+        /// Every event there is.
+        pub const CATALOGUE: &[EventKind] = &[$($name),*];
+    };
+}
+
+catalogue! {
+    100 Info STARTED "The process has started; the line gives its place.";
+    101 Info STOPPING "A polite stop was asked for.";
+    102 Info STOPPED "The process ends.";
+    110 Warn GARBLED "Something that is no message of ours came in on the control port; the circuit was closed.";
+    111 Warn PORT_MISHAP "The control or HTTP port could not take a circuit.";
+    200 Info FOUNDED "All seeds were new; the cohort was founded with them as its seats.";
+    201 Info BOOK_MOVED "A book went on to a later edition.";
+    202 Info DUTY_WANTED "This ledger asks for a duty under the given epoch.";
+    203 Info KEEPER_TOOK_UP "This ledger keeps the tenure under the given epoch.";
+    204 Error STATE_TOO_LARGE "The state no longer fits a slot: this ledger does not vote. Give it a larger slot_mb.";
+    205 Error DISK_REFUSED "The disk refused a write: this ledger does not vote until a whole slot is written.";
+    206 Info DISK_WELL "A whole slot was written after a refusal: this ledger votes again.";
+    207 Error DISK_DAMAGED "What was synced is not all there: this ledger starts as an empty one, without its seat.";
+    208 Warn INSTANCE_GONE "An instance was not heard of for the span of a beat and counts as gone.";
+    209 Warn MEMBER_GONE "A member did not renew its permit and counts as gone.";
+    210 Info SEAT_WANTED "The seating duty asks for a change of seats.";
+    300 Info FRESH "The permit stands and the news it names is held.";
+    301 Warn STALE "The permit ran out: the proxy refuses orders until it is renewed.";
+    400 Info READY "The proxy is ready.";
+    401 Warn NOT_READY "The proxy is not ready.";
+    402 Warn BODY_BROKEN "An answer broke off after part of it was sent on; the caller's circuit was broken.";
+    500 Info RUN_STEP "A step of a runbook or a drill.";
+    501 Error RUN_FAILED "A step of a runbook or a drill failed.";
+}
+
+/// Writes one event to the log.
+pub fn event(kind: EventKind, text: impl fmt::Display) {
+    log::log!(kind.level, "E{} {} {text}", kind.number, kind.name);
+}
+
+/// Starts the log on standard error; `RUST_LOG` may name another level than info.
+pub fn start_log() -> anyhow::Result<()> {
+    flexi_logger::Logger::try_with_env_or_str("info")?
+        .log_to_stderr()
+        .format(|writer, now, record| {
+            write!(writer, "{} {} {}", now.format_rfc3339(), record.level(), record.args())
+        })
+        .start()?;
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+
+    #[test]
+    fn given_the_catalogue_when_read_then_numbers_are_unique_and_the_docs_list_each() {
+        let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/events.md");
+        let page = std::fs::read_to_string(path).expect("docs/events.md is there");
+        let mut numbers = BTreeSet::new();
+        for kind in CATALOGUE {
+            assert!(numbers.insert(kind.number), "number {} twice", kind.number);
+            let row = format!("| {} | {} | {} |", kind.number, kind.name, kind.level);
+            assert!(page.contains(&row), "docs/events.md lacks the row {row}");
+        }
+        let rows = page.lines().filter(|line| {
+            line.trim_start_matches("| ").starts_with(|sign: char| sign.is_ascii_digit())
+        });
+        assert_eq!(rows.count(), CATALOGUE.len(), "docs/events.md has rows of no event");
+    }
+}
--- /dev/null
+++ b/crates/toolroom/src/http.rs
@@ -0,0 +1,341 @@
+//! HTTP/1.1 for callers, back ends and operators: small helpers round the library.
+
+use crate::prelude::*;
+
+pub type Body = http_body_util::combinators::BoxBody<Bytes, std::io::Error>;
+
+/// Says whether an order of ours that failed ran: `not-run` or `unknown`.
+pub const OUTCOME_HEADER: &str = "caperworks-outcome";
+pub const INSTANCE_HEADER: &str = "caperworks-instance";
+pub const INCARNATION_HEADER: &str = "caperworks-incarnation";
+pub const SLICE_HEADER: &str = "caperworks-slice";
+pub const EPOCH_HEADER: &str = "caperworks-epoch";
+pub const DEADLINE_HEADER: &str = "caperworks-deadline-ms";
+pub const LOAD_HEADER: &str = "caperworks-load";
+pub const ORDER_HEADER: &str = "caperworks-order";
+
+pub fn whole(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into())
+        .map_err(|never: std::convert::Infallible| match never {})
+        .boxed()
+}
+
+pub fn json_answer(status: u16, value: &JsonValue) -> Response<Body> {
+    let mut answer = Response::new(whole(value.dump()));
+    *answer.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    answer
+        .headers_mut()
+        .insert("content-type", HeaderValue::from_static("application/json"));
+    if status == 503 {
+        answer
+            .headers_mut()
+            .insert("retry-after", HeaderValue::from_static("1"));
+    }
+    answer
+}
+
+/// Who is at the other end of a circuit, and how far away by the kernel's own measure.
+#[derive(Debug, Clone, Copy)]
+pub struct FarEnd {
+    pub address: SocketAddr,
+    pub round_trip: Duration,
+}
+
+/// The kernel's smoothed round trip of a circuit; zero when it does not say.
+fn round_trip(stream: &TcpStream) -> Duration {
+    use std::os::fd::AsRawFd;
+    let mut info: libc::tcp_info = unsafe { std::mem::zeroed() };
+    let mut length = std::mem::size_of::<libc::tcp_info>() as libc::socklen_t;
+    // Why this is sound: the kernel writes at most `length` bytes into a struct of that size.
+    let outcome = unsafe {
+        libc::getsockopt(
+            stream.as_raw_fd(),
+            libc::IPPROTO_TCP,
+            libc::TCP_INFO,
+            std::ptr::from_mut(&mut info).cast(),
+            &mut length,
+        )
+    };
+    if outcome == 0 {
+        Duration::from_micros(u64::from(info.tcpi_rtt))
+    } else {
+        Duration::ZERO
+    }
+}
+
+/// Serves HTTP on a listener until the process ends or `stop` is set; counts what is under way.
+pub async fn serve_http<Handler, Answering>(
+    listener: TcpListener,
+    stop: Arc<AtomicBool>,
+    handler: Handler,
+) where
+    Handler: Fn(FarEnd, Request<Incoming>) -> Answering + Clone + Send + Sync + 'static,
+    Answering: Future<Output = Result<Response<Body>, std::io::Error>> + Send + 'static,
+{
+    loop {
+        let (stream, address) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(mishap) => {
+                event(PORT_MISHAP, mishap);
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let _ = stream.set_nodelay(true);
+        let far_end = FarEnd {
+            address,
+            round_trip: round_trip(&stream),
+        };
+        let handler = handler.clone();
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            let service = hyper::service::service_fn(move |order| {
+                let answering = handler(far_end, order);
+                let stop = stop.clone();
+                async move {
+                    let mut answer = answering.await?;
+                    if stop.load(Ordering::Relaxed) {
+                        // Why: a process that is about to stop takes nothing more on a circuit.
+                        answer
+                            .headers_mut()
+                            .insert("connection", HeaderValue::from_static("close"));
+                    }
+                    Ok::<_, std::io::Error>(answer)
+                }
+            });
+            let _ = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(Duration::from_secs(30))
+                .max_buf_size(64 * 1024)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+/// What came back from a fetch.
+#[derive(Debug, Clone)]
+pub struct Fetched {
+    pub status: u16,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Fetched {
+    pub fn json(&self) -> JsonValue {
+        let text = String::from_utf8_lossy(&self.body);
+        jzon::parse(&text).unwrap_or(JsonValue::Null)
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// One request on a circuit of its own, with everything that shapes it.
+#[derive(Debug, Clone)]
+pub struct Fetch {
+    pub to: SocketAddr,
+    pub from: Option<IpAddr>,
+    pub method: Method,
+    pub path: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Bytes,
+    pub patience: Duration,
+}
+
+impl Fetch {
+    pub fn get(to: SocketAddr, path: impl Into<String>) -> Self {
+        Self {
+            to,
+            from: None,
+            method: Method::GET,
+            path: path.into(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+            patience: Duration::from_secs(5),
+        }
+    }
+
+    pub fn post(to: SocketAddr, path: impl Into<String>, body: impl Into<Bytes>) -> Self {
+        let mut fetch = Self::get(to, path);
+        fetch.method = Method::POST;
+        fetch.body = body.into();
+        fetch
+    }
+
+    pub fn header(mut self, name: &str, value: impl Into<String>) -> Self {
+        self.headers.push((name.to_string(), value.into()));
+        self
+    }
+
+    pub fn patience(mut self, patience: Duration) -> Self {
+        self.patience = patience;
+        self
+    }
+
+    pub fn from(mut self, from: IpAddr) -> Self {
+        self.from = Some(from);
+        self
+    }
+
+    pub async fn send(self) -> anyhow::Result<Fetched> {
+        let patience = self.patience;
+        tokio::time::timeout(patience, self.run())
+            .await
+            .map_err(|_| anyhow!("no answer within {patience:?}"))?
+    }
+
+    async fn run(self) -> anyhow::Result<Fetched> {
+        let socket = if self.to.is_ipv4() {
+            TcpSocket::new_v4()?
+        } else {
+            TcpSocket::new_v6()?
+        };
+        if let Some(from) = self.from {
+            socket.bind(SocketAddr::new(from, 0))?;
+        }
+        let stream = socket.connect(self.to).await?;
+        stream.set_nodelay(true)?;
+        let (mut sender, circuit) =
+            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(circuit);
+        let mut order = Request::builder().method(self.method).uri(&self.path);
+        if !self.headers.iter().any(|(name, _)| name == "host") {
+            order = order.header("host", self.to.to_string());
+        }
+        for (name, value) in &self.headers {
+            order = order.header(name, value);
+        }
+        let answer = sender.send_request(order.body(Full::new(self.body))?).await?;
+        let (head, body) = answer.into_parts();
+        let body = body.collect().await?.to_bytes();
+        Ok(Fetched {
+            status: head.status.as_u16(),
+            headers: head.headers,
+            body,
+        })
+    }
+}
+
+/// Reads a small body whole, or says that it is over the limit or broke off.
+pub async fn small_body(body: Incoming, most: usize) -> Result<Bytes, u16> {
+    match Limited::new(body, most).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(mishap) if mishap.is::<http_body_util::LengthLimitError>() => Err(413),
+        Err(_) => Err(400),
+    }
+}
+
+/// Reads an instance's beat from JSON, and writes the answer; both by hand.
+pub mod beats {
+    use crate::prelude::*;
+
+    pub fn write(beat: &Beat) -> JsonValue {
+        jzon::object! {
+            id: beat.id.as_str(),
+            incarnation: beat.incarnation.0,
+            counter: beat.counter,
+            pool: beat.pool.as_str(),
+            area: beat.area.as_str(),
+            address: beat.address.to_string(),
+            capacity: beat.capacity,
+            state: match beat.state {
+                InstanceState::Warming => "warming",
+                InstanceState::Serving => "serving",
+                InstanceState::Leaving => "leaving",
+            },
+            load: beat.load,
+            up_ms: beat.up.as_millis() as u64,
+            holding: beat.holding.clone(),
+        }
+    }
+
+    pub fn read(text: &str) -> Result<Beat, String> {
+        let value = jzon::parse(text).map_err(|mishap| format!("is no JSON: {mishap}"))?;
+        let text = |name: &str| -> Result<String, String> {
+            match value[name].as_str() {
+                Some(text) if !text.is_empty() && text.len() <= 128 => Ok(text.to_string()),
+                _ => Err(format!("{name} must be a string of 1 to 128 characters")),
+            }
+        };
+        let number = |name: &str| -> Result<u64, String> {
+            value[name]
+                .as_u64()
+                .ok_or_else(|| format!("{name} must be a whole number"))
+        };
+        let small = |name: &str| -> Result<u32, String> {
+            value[name]
+                .as_u32()
+                .ok_or_else(|| format!("{name} must be a whole number"))
+        };
+        let state = match value["state"].as_str() {
+            Some("warming") => InstanceState::Warming,
+            Some("serving") => InstanceState::Serving,
+            Some("leaving") => InstanceState::Leaving,
+            _ => return Err("state must be warming, serving or leaving".to_string()),
+        };
+        let holding = match &value["holding"] {
+            JsonValue::Null => Vec::new(),
+            JsonValue::Array(list) => list
+                .iter()
+                .map(|slice| slice.as_u32().ok_or("holding must list slice numbers"))
+                .collect::<Result<_, _>>()?,
+            _ => return Err("holding must be a list".to_string()),
+        };
+        Ok(Beat {
+            id: InstanceId::new(text("id")?),
+            incarnation: Incarnation(number("incarnation")?),
+            counter: number("counter")?,
+            pool: PoolName::new(text("pool")?),
+            area: Area::new(text("area")?),
+            address: text("address")?
+                .parse()
+                .map_err(|_| "address must be an IP number and port".to_string())?,
+            capacity: small("capacity")?,
+            state,
+            load: small("load")?,
+            up: Duration::from_millis(number("up_ms")?),
+            holding,
+        })
+    }
+
+    fn holds_json(holds: &[HoldAnswer]) -> Vec<JsonValue> {
+        holds
+            .iter()
+            .map(|hold| {
+                jzon::object! {
+                    slice: hold.slice,
+                    epoch: hold.epoch.0,
+                    left_ms: hold.left.as_millis() as u64,
+                }
+            })
+            .collect()
+    }
+
+    pub fn write_answer(answer: &BeatAnswer) -> JsonValue {
+        jzon::object! {
+            holds: holds_json(&answer.holds),
+            release: holds_json(&answer.release),
+        }
+    }
+
+    pub fn read_answer(value: &JsonValue) -> BeatAnswer {
+        let list = |name: &str| -> Vec<HoldAnswer> {
+            value[name]
+                .members()
+                .filter_map(|hold| {
+                    Some(HoldAnswer {
+                        slice: hold["slice"].as_u32()?,
+                        epoch: Epoch(hold["epoch"].as_u64()?),
+                        left: Duration::from_millis(hold["left_ms"].as_u64()?),
+                    })
+                })
+                .collect()
+        };
+        BeatAnswer {
+            holds: list("holds"),
+            release: list("release"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/toolroom/src/prelude.rs
@@ -0,0 +1,37 @@
+//! The one module that each daemon's files import.
+
+pub use std::future::Future;
+pub use std::path::{Path, PathBuf};
+pub use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+pub use std::sync::{Arc, Mutex, MutexGuard};
+pub use std::time::Instant;
+
+pub use anyhow::{anyhow, bail, Context as AnyhowContext};
+pub use bpaf::{construct, long, positional, OptionParser, Parser};
+pub use bytes::{Bytes, BytesMut};
+pub use caperworks::messages;
+pub use caperworks::prelude::*;
+pub use http_body_util::{BodyExt, Full, Limited};
+pub use hyper::body::{Body as HttpBody, Frame, Incoming};
+pub use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+pub use hyper::{Method, Request, Response, StatusCode};
+pub use hyper_util::rt::{TokioIo, TokioTimer};
+pub use jzon::JsonValue;
+pub use kameo::actor::{ActorRef, Spawn};
+pub use tokio::net::{TcpListener, TcpSocket, TcpStream};
+pub use tokio::sync::{mpsc, oneshot};
+
+pub use crate::circuits::*;
+pub use crate::desk::*;
+pub use crate::disk::*;
+pub use crate::events;
+pub use crate::events::*;
+pub use crate::http::*;
+pub use crate::options::*;
+
+/// Takes a lock whose holder cannot have left things half done.
+///
+/// Why go on after a panic elsewhere: a broken invariant stops the process by itself.
+pub fn locked<Inner>(mutex: &Mutex<Inner>) -> MutexGuard<'_, Inner> {
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
