--- /dev/null
+++ b/crates/understudy/src/main.rs
@@ -0,0 +1,367 @@
+//! `understudy`: a stand-in instance that keeps a record of what it ran.
+
+use std::io::Write;
+use toolroom::prelude::*;
+
+const HELP: &str = "A stand-in instance: announces itself by beats, runs orders, and records what it ran";
+const BEAT_PERIOD: Duration = Duration::from_millis(500);
+const MOST_BODY: usize = 128 * 1024 * 1024;
+
+#[derive(Debug, Clone)]
+struct Flags {
+    id: String,
+    pool: String,
+    area: String,
+    serving: SocketAddr,
+    agents: Vec<SocketAddr>,
+    capacity: u32,
+    work_ms: u64,
+    warm_ms: u64,
+    journal: Option<PathBuf>,
+}
+
+fn flags() -> OptionParser<Flags> {
+    let id = long("id").help("The instance's name").argument::<String>("NAME");
+    let pool = long("pool").help("Its pool").argument::<String>("NAME");
+    let area = long("area").help("Its area").argument::<String>("NAME");
+    let serving = long("serving")
+        .help("Address for orders")
+        .argument::<SocketAddr>("ADDRESS");
+    let agents = long("agent")
+        .help("Where to send beats: HTTP addresses of mentors or ledgers")
+        .argument::<SocketAddr>("ADDRESS")
+        .some("give at least one --agent");
+    let capacity = long("capacity")
+        .help("Orders a second")
+        .argument::<u32>("NUMBER")
+        .fallback(50);
+    let work_ms = long("work-ms")
+        .help("How long an order takes")
+        .argument::<u64>("MILLISECONDS")
+        .fallback(3);
+    let warm_ms = long("warm-ms")
+        .help("How long it says that it warms up")
+        .argument::<u64>("MILLISECONDS")
+        .fallback(0);
+    let journal = long("journal")
+        .help("File to record runs in")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    construct!(Flags { id, pool, area, serving, agents, capacity, work_ms, warm_ms, journal })
+        .to_options()
+        .descr(HELP)
+}
+
+/// The faults that may be asked of it, each for a number of orders.
+#[derive(Default)]
+struct Ailments {
+    lose_answers: AtomicU32,
+    garbage: AtomicU32,
+    truncate: AtomicU32,
+    refuse: AtomicU32,
+}
+
+struct Understudy {
+    flags: Flags,
+    clock: Clock,
+    incarnation: Incarnation,
+    counter: AtomicU64,
+    load: AtomicU32,
+    leaving: AtomicBool,
+    holdings: Mutex<Holdings>,
+    ailments: Ailments,
+    journal: Option<Mutex<std::fs::File>>,
+}
+
+fn take_one(count: &AtomicU32) -> bool {
+    count
+        .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1))
+        .is_ok()
+}
+
+impl Understudy {
+    fn beat(&self) -> Beat {
+        let up = self.clock.now();
+        let state = if self.leaving.load(Ordering::SeqCst) {
+            InstanceState::Leaving
+        } else if up < Duration::from_millis(self.flags.warm_ms) {
+            InstanceState::Warming
+        } else {
+            InstanceState::Serving
+        };
+        Beat {
+            id: InstanceId::new(&self.flags.id),
+            incarnation: self.incarnation,
+            counter: self.counter.fetch_add(1, Ordering::SeqCst) + 1,
+            pool: PoolName::new(&self.flags.pool),
+            area: Area::new(&self.flags.area),
+            address: self.flags.serving,
+            capacity: self.flags.capacity,
+            state,
+            load: self.load.load(Ordering::SeqCst),
+            up,
+            holding: locked(&self.holdings).holding(up),
+        }
+    }
+
+    async fn send_beat(&self, agent: SocketAddr) -> bool {
+        let sent_at = self.clock.now();
+        let body = beats::write(&self.beat()).dump();
+        let sent = Fetch::post(agent, "/beats", body)
+            .patience(Duration::from_millis(1200))
+            .send()
+            .await;
+        match sent {
+            Ok(fetched) if fetched.status == 200 => {
+                let answer = beats::read_answer(&fetched.json());
+                locked(&self.holdings).answered(sent_at, &answer);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    async fn keep_beating(self: Arc<Self>) {
+        let mut place = (steady_hash(&self.flags.id) % self.flags.agents.len() as u64) as usize;
+        let mut beat = tokio::time::interval(BEAT_PERIOD);
+        beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            beat.tick().await;
+            // Why at most all of them once: a beat that nobody takes waits for the next turn.
+            for _ in 0..self.flags.agents.len().min(4) {
+                if self.send_beat(self.flags.agents[place]).await {
+                    break;
+                }
+                place = (place + 1) % self.flags.agents.len();
+            }
+        }
+    }
+
+    fn record(&self, line: &str) {
+        if let Some(journal) = &self.journal {
+            let written = writeln!(locked(journal), "{line}");
+            if let Err(mishap) = written {
+                log::error!("the journal cannot be written: {mishap}");
+            }
+        }
+    }
+
+    fn may_run(&self, slice: Option<(u32, Epoch)>, need: Duration) -> bool {
+        slice.is_none_or(|(slice, epoch)| {
+            locked(&self.holdings).may_start(self.clock.now(), slice, epoch, need)
+        })
+    }
+
+    async fn answer(
+        self: Arc<Self>,
+        order: Request<Incoming>,
+    ) -> Result<Response<Body>, std::io::Error> {
+        let path = order.uri().path().to_string();
+        if path == "/understudy/ail" {
+            return Ok(self.ail(order).await);
+        }
+        let header = |name: &str| {
+            order
+                .headers()
+                .get(name)
+                .and_then(|value| value.to_str().ok())
+                .map(str::to_string)
+        };
+        let meant_for_us = header(INSTANCE_HEADER).as_deref() == Some(self.flags.id.as_str())
+            && header(INCARNATION_HEADER) == Some(self.incarnation.to_string());
+        let slice = match (header(SLICE_HEADER), header(EPOCH_HEADER)) {
+            (Some(slice), Some(epoch)) => match (slice.parse(), epoch.parse()) {
+                (Ok(slice), Ok(epoch)) => Some((slice, Epoch(epoch))),
+                _ => return Ok(self.not_run("the slice is malformed")),
+            },
+            _ => None,
+        };
+        let order_id = header(ORDER_HEADER).unwrap_or_default();
+        let caller_id = header("x-caller-order").unwrap_or_default();
+        let key = header("x-key").unwrap_or_default();
+        let need = header(DEADLINE_HEADER)
+            .and_then(|text| text.parse().ok())
+            .map_or(Duration::from_secs(3), Duration::from_millis);
+        if !meant_for_us {
+            return Ok(self.not_run("this order is for another instance"));
+        }
+        if !self.may_run(slice, need) {
+            return Ok(self.not_run("the slice is not held here under this epoch"));
+        }
+        if take_one(&self.ailments.refuse) {
+            return Ok(self.not_run("asked to refuse"));
+        }
+        let method = order.method().clone();
+        let started = wall_millis();
+        self.load.fetch_add(1, Ordering::SeqCst);
+        if let Some((slice, _)) = slice {
+            locked(&self.holdings).started(slice);
+        }
+        let outcome = self.work(order.into_body(), slice).await;
+        if let Some((slice, _)) = slice {
+            locked(&self.holdings).ended(slice);
+        }
+        let load = self.load.fetch_sub(1, Ordering::SeqCst) - 1;
+        let digest = match outcome {
+            Ok(digest) => digest,
+            // Why an error: an order that never arrived whole gets no answer.
+            Err(None) => return Err(std::io::Error::other("the order broke off")),
+            Err(Some(why)) => return Ok(self.not_run(why)),
+        };
+        self.record(&format!(
+            "ran {caller_id} {method} {path} key={key} slice={} digest={digest:x} from={} to={}",
+            slice.map_or("-".to_string(), |(slice, epoch)| format!("{slice}/{epoch}")),
+            started,
+            wall_millis(),
+        ));
+        if take_one(&self.ailments.lose_answers) {
+            return Err(std::io::Error::other("asked to lose the answer"));
+        }
+        let json = jzon::object! {
+            order: caller_id.as_str(),
+            instance: self.flags.id.as_str(),
+            digest: format!("{digest:x}"),
+        };
+        let mut answer = json_answer(200, &json);
+        if take_one(&self.ailments.garbage) {
+            // Why this: an answer to some other order must never reach the caller.
+            answer.headers_mut().insert(ORDER_HEADER, HeaderValue::from_static("other"));
+            return Ok(answer);
+        }
+        if take_one(&self.ailments.truncate) {
+            *answer.body_mut() = CutShort { pieces: 2 }.boxed();
+            answer.headers_mut().insert("content-length", HeaderValue::from_static("1000"));
+        }
+        let headers = answer.headers_mut();
+        if let Ok(value) = HeaderValue::from_str(&order_id) {
+            headers.insert(ORDER_HEADER, value);
+        }
+        headers.insert(LOAD_HEADER, HeaderValue::from(load));
+        Ok(answer)
+    }
+
+    /// Takes the whole order in, works, and looks again whether it may take effect.
+    async fn work(
+        &self,
+        body: Incoming,
+        slice: Option<(u32, Epoch)>,
+    ) -> Result<u64, Option<&'static str>> {
+        let bytes = small_body(body, MOST_BODY).await.map_err(|_| None)?;
+        tokio::time::sleep(Duration::from_millis(self.flags.work_ms)).await;
+        if !self.may_run(slice, Duration::ZERO) {
+            return Err(Some("the hold passed before the work took effect"));
+        }
+        Ok(digest_of(&bytes))
+    }
+
+    fn not_run(&self, why: &str) -> Response<Body> {
+        let mut answer = json_answer(421, &jzon::object! { outcome: "not-run", why: why });
+        answer
+            .headers_mut()
+            .insert(OUTCOME_HEADER, HeaderValue::from_static("not-run"));
+        answer
+    }
+
+    async fn ail(&self, order: Request<Incoming>) -> Response<Body> {
+        let body = small_body(order.into_body(), 4096).await.unwrap_or_default();
+        let value = jzon::parse(&String::from_utf8_lossy(&body)).unwrap_or(JsonValue::Null);
+        let count = value["count"].as_u32().unwrap_or(1);
+        let ailment = match value["kind"].as_str() {
+            Some("lose-answers") => &self.ailments.lose_answers,
+            Some("garbage") => &self.ailments.garbage,
+            Some("truncate") => &self.ailments.truncate,
+            Some("refuse") => &self.ailments.refuse,
+            _ => {
+                let why = "kind must be lose-answers, garbage, truncate or refuse";
+                return json_answer(400, &jzon::object! { why: why });
+            }
+        };
+        ailment.store(count, Ordering::SeqCst);
+        json_answer(200, &jzon::object! { count: count })
+    }
+}
+
+/// Why the wall clock here: the records of many stand-ins on one machine are laid side by side.
+fn wall_millis() -> u128 {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |span| span.as_millis())
+}
+
+fn digest_of(bytes: &[u8]) -> u64 {
+    bytes
+        .iter()
+        .fold(bytes.len() as u64, |digest, byte| mix(digest ^ u64::from(*byte)))
+}
+
+/// A body that breaks off before the length its head promised.
+struct CutShort {
+    pieces: u32,
+}
+
+impl HttpBody for CutShort {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: std::pin::Pin<&mut Self>,
+        _context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        if self.pieces == 0 {
+            return std::task::Poll::Ready(Some(Err(std::io::Error::other("cut short"))));
+        }
+        self.pieces -= 1;
+        std::task::Poll::Ready(Some(Ok(Frame::data(Bytes::from_static(b"{\"order\":")))))
+    }
+}
+
+#[tokio::main(worker_threads = 1)]
+async fn main() -> anyhow::Result<()> {
+    let flags = read_flags(&flags());
+    start_log()?;
+    let listener = listen(flags.serving).await?;
+    let journal = match &flags.journal {
+        None => None,
+        Some(path) => Some(Mutex::new(
+            std::fs::OpenOptions::new().create(true).append(true).open(path)?,
+        )),
+    };
+    // Why this: a stand-in needs a number that grows from life to life.
+    let incarnation = wall_millis() as u64;
+    event(STARTED, format!("understudy {} pool {} serving {}", flags.id, flags.pool, flags.serving));
+    let understudy = Arc::new(Understudy {
+        flags,
+        clock: Clock::start(),
+        incarnation: Incarnation(incarnation),
+        counter: AtomicU64::new(0),
+        load: AtomicU32::new(0),
+        leaving: AtomicBool::new(false),
+        holdings: Mutex::default(),
+        ailments: Ailments::default(),
+        journal,
+    });
+    tokio::spawn(understudy.clone().keep_beating());
+    let stop = Arc::new(AtomicBool::new(false));
+    let answering = understudy.clone();
+    tokio::spawn(serve_http(listener, stop.clone(), move |_, order| {
+        answering.clone().answer(order)
+    }));
+    asked_to_stop().await;
+    event(STOPPING, "");
+    understudy.leaving.store(true, Ordering::SeqCst);
+    understudy.send_beat(understudy.flags.agents[0]).await;
+    // Why so long: orders may still arrive for as long as the news travels, and held slices are
+    // let go of one beat after the keeper asks for them.
+    let until = Instant::now() + Duration::from_secs(8);
+    let earliest = Instant::now() + Duration::from_millis(3500);
+    while Instant::now() < until {
+        let holding = !locked(&understudy.holdings).holding(understudy.clock.now()).is_empty();
+        let idle = understudy.load.load(Ordering::SeqCst) == 0 && !holding;
+        if idle && Instant::now() > earliest {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    event(STOPPED, "");
+    Ok(())
+}
--- /dev/null
+++ b/crates/workshop/src/fleet.rs
@@ -0,0 +1,249 @@
+//! A fleet of real processes on one machine: started, remembered in a file, harmed and ended by id.
+
+use crate::prelude::*;
+use std::process::{Command, Stdio};
+
+#[derive(Debug, Clone)]
+pub struct Hand {
+    pub name: String,
+    pub program: String,
+    pub arguments: Vec<String>,
+    pub area: String,
+    pub serving: SocketAddr,
+    pub process: i32,
+}
+
+#[derive(Debug, Clone)]
+pub struct Fleet {
+    pub folder: PathBuf,
+    pub scenario: PathBuf,
+    pub hands: Vec<Hand>,
+}
+
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+impl Hand {
+    /// Whether the process is alive and still the one that was started.
+    pub fn lives(&self) -> bool {
+        let Ok(line) = std::fs::read(format!("/proc/{}/cmdline", self.process)) else {
+            return false;
+        };
+        let state = std::fs::read_to_string(format!("/proc/{}/stat", self.process));
+        let ended = state.is_ok_and(|stat| stat.contains(") Z "));
+        let line = String::from_utf8_lossy(&line);
+        let mut parts = line.split('\0');
+        !ended
+            && parts.next().is_some_and(|first| first.ends_with(&format!("/{}", self.program)))
+            && parts.eq(self.arguments.iter().map(String::as_str).chain([""]))
+    }
+
+    /// Sends a signal, but only to a process that is surely ours.
+    pub fn signal(&self, signal: i32) -> bool {
+        // Why this is sound: it passes two numbers and touches no memory.
+        self.lives() && unsafe { libc::kill(self.process, signal) } == 0
+    }
+}
+
+impl Fleet {
+    pub fn plan(scenario: &Scenario, folder: &Path, base: u16) -> Self {
+        let mut next = base;
+        let mut port = || {
+            next += 1;
+            next
+        };
+        let ledgers: Vec<(u16, u16, &String)> = scenario
+            .ledgers
+            .iter()
+            .map(|area| (port(), port(), area))
+            .collect();
+        let seeds: Vec<String> = ledgers
+            .iter()
+            .take(3)
+            .flat_map(|(control, _, _)| ["--seed".to_string(), loopback(*control).to_string()])
+            .collect();
+        let place = |control: u16, serving: u16, area: &str| -> Vec<String> {
+            let mut arguments = vec![
+                "--control".to_string(),
+                loopback(control).to_string(),
+                "--serving".to_string(),
+                loopback(serving).to_string(),
+                "--area".to_string(),
+                area.to_string(),
+            ];
+            arguments.extend(seeds.iter().cloned());
+            arguments
+        };
+        let mut hands = Vec::new();
+        let mut add = |name: String, program: &str, area: &str, serving: u16, arguments| {
+            hands.push(Hand {
+                name,
+                program: program.to_string(),
+                arguments,
+                area: area.to_string(),
+                serving: loopback(serving),
+                process: 0,
+            });
+        };
+        for (place_number, (control, serving, area)) in ledgers.iter().enumerate() {
+            let name = format!("ledger-{}", place_number + 1);
+            let mut arguments = place(*control, *serving, area);
+            arguments.push("--data".to_string());
+            arguments.push(folder.join(&name).display().to_string());
+            add(name, "ledger", area, *serving, arguments);
+        }
+        let mut agents = Vec::new();
+        for (area, _) in &scenario.areas {
+            for number in 1..=scenario.proxies_per_area {
+                let (control, serving) = (port(), port());
+                agents.push(("--agent".to_string(), loopback(serving).to_string()));
+                let name = format!("mentor-{area}-{number}");
+                add(name, "mentor", area, serving, place(control, serving, area));
+                let (own_control, own_serving) = (port(), port());
+                let name = format!("playout-{area}-{number}");
+                let options = folder.join(format!("{name}.json"));
+                let json = jzon::object! {
+                    control: loopback(own_control).to_string(),
+                    serving: loopback(own_serving).to_string(),
+                    area: area.as_str(),
+                    agent: loopback(control).to_string(),
+                    capacity: scenario.proxy_capacity,
+                };
+                // Why ignored here: the process that reads it says what is wrong.
+                let _ = std::fs::write(&options, json.pretty(2));
+                let arguments = vec!["--options".to_string(), options.display().to_string()];
+                add(name, "playout", area, own_serving, arguments);
+            }
+        }
+        for (number, area) in scenario.directories.iter().enumerate() {
+            let (control, serving) = (port(), port());
+            let name = format!("cuesheet-{}", number + 1);
+            add(name, "cuesheet", area, serving, place(control, serving, area));
+        }
+        for pool in &scenario.pools {
+            for number in 0..pool.instances {
+                let area = &scenario.areas[number as usize % scenario.areas.len()].0;
+                let serving = port();
+                let name = format!("{}-{}", pool.name, number + 1);
+                let mut arguments: Vec<String> = [
+                    "--id", &name, "--pool", &pool.name, "--area", area,
+                ]
+                .map(str::to_string)
+                .to_vec();
+                arguments.extend(["--serving".to_string(), loopback(serving).to_string()]);
+                arguments.extend(["--capacity".to_string(), pool.capacity.to_string()]);
+                arguments.extend(["--work-ms".to_string(), pool.work_ms.to_string()]);
+                let journal = folder.join(format!("{name}.journal"));
+                arguments.extend(["--journal".to_string(), journal.display().to_string()]);
+                // Why three of them in turn: an instance knows a few agents, not all.
+                for turn in 0..4 {
+                    let (flag, agent) = &agents[(number as usize + turn * 3) % agents.len()];
+                    arguments.extend([flag.clone(), agent.clone()]);
+                }
+                add(name, "understudy", area, serving, arguments);
+            }
+        }
+        Self {
+            folder: folder.to_path_buf(),
+            scenario: scenario.file.clone(),
+            hands,
+        }
+    }
+
+    fn file(folder: &Path) -> PathBuf {
+        folder.join("fleet.json")
+    }
+
+    pub fn save(&self) -> anyhow::Result<()> {
+        let hands: Vec<JsonValue> = self
+            .hands
+            .iter()
+            .map(|hand| {
+                jzon::object! {
+                    name: hand.name.as_str(),
+                    program: hand.program.as_str(),
+                    arguments: hand.arguments.clone(),
+                    area: hand.area.as_str(),
+                    serving: hand.serving.to_string(),
+                    process: hand.process,
+                }
+            })
+            .collect();
+        let json = jzon::object! {
+            scenario: self.scenario.display().to_string(),
+            hands: hands,
+        };
+        std::fs::write(Self::file(&self.folder), json.pretty(2))?;
+        Ok(())
+    }
+
+    pub fn load(folder: &Path) -> Result<Self, OptionsFault> {
+        let path = Self::file(folder);
+        let value = read_json_file(&path)?;
+        let hands = value["hands"]
+            .members()
+            .filter_map(|hand| {
+                Some(Hand {
+                    name: hand["name"].as_str()?.to_string(),
+                    program: hand["program"].as_str()?.to_string(),
+                    arguments: hand["arguments"]
+                        .members()
+                        .filter_map(|argument| Some(argument.as_str()?.to_string()))
+                        .collect(),
+                    area: hand["area"].as_str()?.to_string(),
+                    serving: hand["serving"].as_str()?.parse().ok()?,
+                    process: hand["process"].as_i32()?,
+                })
+            })
+            .collect();
+        Ok(Self {
+            folder: folder.to_path_buf(),
+            scenario: PathBuf::from(value["scenario"].as_str().unwrap_or_default()),
+            hands,
+        })
+    }
+
+    /// The hands that a name means: one hand, a whole program, or an area.
+    pub fn named(&self, name: &str) -> Vec<usize> {
+        (0..self.hands.len())
+            .filter(|place| {
+                let hand = &self.hands[*place];
+                hand.name == name || hand.program == name || hand.area == name
+            })
+            .collect()
+    }
+
+    pub fn start(&mut self, place: usize) -> anyhow::Result<()> {
+        let folder = self.folder.clone();
+        let hand = &mut self.hands[place];
+        if hand.lives() {
+            return Ok(());
+        }
+        let programs = std::env::current_exe()?
+            .parent()
+            .context("this program has no folder")?
+            .to_path_buf();
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(folder.join(format!("{}.log", hand.name)))?;
+        let child = Command::new(programs.join(&hand.program))
+            .args(&hand.arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .with_context(|| format!("cannot start {}", hand.program))?;
+        hand.process = child.id() as i32;
+        Ok(())
+    }
+
+    pub fn of(&self, program: &str) -> Vec<SocketAddr> {
+        self.hands
+            .iter()
+            .filter(|hand| hand.program == program)
+            .map(|hand| hand.serving)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/workshop/src/main.rs
@@ -0,0 +1,323 @@
+//! `workshop`: a whole fleet on one machine, for trying things out and for doing it harm.
+
+mod fleet;
+mod prelude;
+mod scenario;
+
+use crate::prelude::*;
+
+const HELP: &str = "Starts a whole fleet on this machine from a scenario file, does it harm, and \
+judges from the records what it did";
+
+#[derive(Debug, Clone)]
+enum Command {
+    Up { scenario: PathBuf, base: u16 },
+    Down,
+    Status,
+    Harm { signal: i32, names: Vec<String> },
+    Start { names: Vec<String> },
+    Judge { records: Vec<PathBuf> },
+}
+
+#[derive(Debug, Clone)]
+struct Flags {
+    run: PathBuf,
+    command: Command,
+}
+
+fn flags() -> OptionParser<Flags> {
+    let run = long("run")
+        .help("Folder for the fleet's files")
+        .argument::<PathBuf>("FOLDER");
+    let scenario = long("scenario").help("Scenario file").argument::<PathBuf>("FILE");
+    let base = long("base-port")
+        .help("Ports are taken from here up")
+        .argument::<u16>("PORT")
+        .fallback(21000);
+    let up = construct!(Command::Up { scenario, base })
+        .to_options()
+        .descr("Start a fleet, give it its standing orders, and wait until it serves")
+        .command("up");
+    let down = bpaf::pure(Command::Down)
+        .to_options()
+        .descr("End every process of the fleet")
+        .command("down");
+    let status = bpaf::pure(Command::Status)
+        .to_options()
+        .descr("Say which processes live")
+        .command("status");
+    let names = || {
+        positional::<String>("NAME")
+            .help("A process, a program or an area")
+            .some("name at least one process, program or area")
+    };
+    let harm = |word: &'static str, text: &'static str, signal: i32| {
+        let signal = bpaf::pure(signal);
+        let names = names();
+        construct!(Command::Harm { signal, names }).to_options().descr(text).command(word)
+    };
+    let kill = harm("kill", "Kill processes at once", libc::SIGKILL);
+    let stop = harm("stop", "Ask processes to stop politely", libc::SIGTERM);
+    let freeze = harm("freeze", "Freeze processes", libc::SIGSTOP);
+    let wake = harm("wake", "Wake frozen processes", libc::SIGCONT);
+    let names = names();
+    let start = construct!(Command::Start { names })
+        .to_options()
+        .descr("Start ended processes again, with the same place and data")
+        .command("start");
+    let records = positional::<PathBuf>("RECORD")
+        .help("Record files written by caller")
+        .some("name at least one record");
+    let judge = construct!(Command::Judge { records })
+        .to_options()
+        .descr("Compare callers' records with what the instances ran")
+        .command("judge");
+    let command = construct!([up, down, status, kill, stop, freeze, wake, start, judge]);
+    construct!(Flags { run, command }).to_options().descr(HELP)
+}
+
+async fn until(what: &str, span: Duration, test: impl AsyncFn() -> bool) -> anyhow::Result<()> {
+    let start = Instant::now();
+    while start.elapsed() < span {
+        if test().await {
+            println!("{what} after {} ms", start.elapsed().as_millis());
+            return Ok(());
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    bail!("{what}: not within {span:?}; read the logs in the run folder")
+}
+
+async fn status_of(address: SocketAddr, path: &str) -> Option<Fetched> {
+    let patience = Duration::from_secs(1);
+    Fetch::get(address, path).patience(patience).send().await.ok()
+}
+
+async fn up(run: &Path, scenario: &Path, base: u16) -> anyhow::Result<()> {
+    let scenario = Scenario::read(scenario).unwrap_or_else(|faults| end_over(&faults));
+    std::fs::create_dir_all(run)?;
+    let run = run.canonicalize()?;
+    if let Ok(old) = Fleet::load(&run) {
+        if old.hands.iter().any(Hand::lives) {
+            bail!("a fleet of this folder is up: end it first with down");
+        }
+    }
+    let mut fleet = Fleet::plan(&scenario, &run, base);
+    for place in 0..fleet.hands.len() {
+        fleet.start(place)?;
+    }
+    fleet.save()?;
+    println!("{} processes started", fleet.hands.len());
+    let span = Duration::from_secs(60);
+    let ledgers = fleet.of("ledger");
+    until("the ledgers agree", span, async || {
+        status_of(ledgers[0], "/v1/standing").await.is_some_and(|fetched| fetched.status == 200)
+    })
+    .await?;
+    let standing = scenario.standing().dump();
+    std::fs::write(run.join("standing.json"), scenario.standing().pretty(2))?;
+    let applied = Fetch::post(ledgers[0], "/v1/standing", standing).send().await?;
+    println!("standing orders: {} {}", applied.status, applied.json().dump());
+    let proxies = fleet.of("playout");
+    until("all proxies are ready", span, async || {
+        for proxy in &proxies {
+            let ready = status_of(*proxy, "/caperworks/ready").await;
+            if ready.is_none_or(|fetched| fetched.status != 200) {
+                return false;
+            }
+        }
+        true
+    })
+    .await?;
+    let instances: u32 = scenario.pools.iter().map(|pool| pool.instances).sum();
+    until("all instances are known", span, async || {
+        status_of(ledgers[0], "/v1/status")
+            .await
+            .is_some_and(|fetched| fetched.json()["instances"].len() == instances as usize)
+    })
+    .await?;
+    let directories = fleet.of("cuesheet");
+    until("the directories answer", span, async || {
+        for directory in &directories {
+            let ready = status_of(*directory, "/ready").await;
+            if ready.is_none_or(|fetched| fetched.status != 200) {
+                return false;
+            }
+        }
+        true
+    })
+    .await?;
+    let word = |addresses: &[SocketAddr]| {
+        addresses.iter().map(SocketAddr::to_string).collect::<Vec<_>>().join(" ")
+    };
+    println!("ledgers     {}", word(&ledgers));
+    println!("directories {}", word(&directories));
+    println!("proxies     {}", word(&proxies));
+    Ok(())
+}
+
+async fn down(fleet: &Fleet) {
+    for hand in &fleet.hands {
+        hand.signal(libc::SIGCONT);
+        hand.signal(libc::SIGKILL);
+    }
+    let start = Instant::now();
+    while fleet.hands.iter().any(Hand::lives) && start.elapsed() < Duration::from_secs(5) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// One line of an instance's journal.
+struct Ran {
+    order: String,
+    write: bool,
+    slice: Option<(String, u64)>,
+    from: u128,
+    to: u128,
+    instance: String,
+}
+
+fn read_journals(folder: &Path) -> anyhow::Result<Vec<Ran>> {
+    let mut runs = Vec::new();
+    for entry in std::fs::read_dir(folder)? {
+        let path = entry?.path();
+        if path.extension().is_none_or(|ending| ending != "journal") {
+            continue;
+        }
+        let instance = path.file_stem().unwrap_or_default().to_string_lossy().to_string();
+        let pool = instance.rsplit_once('-').map_or("", |(pool, _)| pool).to_string();
+        for line in std::fs::read_to_string(&path)?.lines() {
+            let parts: Vec<&str> = line.split(' ').collect();
+            let field = |name: &str| {
+                parts.iter().find_map(|part| part.strip_prefix(name)).unwrap_or_default()
+            };
+            let (Some(order), Some(method)) = (parts.get(1), parts.get(2)) else {
+                continue;
+            };
+            let slice = field("slice=")
+                .split_once('/')
+                .map(|(slice, epoch)| (format!("{pool}/{slice}"), epoch.parse().unwrap_or(0)));
+            runs.push(Ran {
+                order: (*order).to_string(),
+                write: *method != "GET",
+                slice,
+                from: field("from=").parse().unwrap_or(0),
+                to: field("to=").parse().unwrap_or(0),
+                instance: instance.clone(),
+            });
+        }
+    }
+    Ok(runs)
+}
+
+/// Judges a run: nothing twice, nothing after "not run", no two owners of a slice at once.
+fn judge(fleet: &Fleet, records: &[PathBuf]) -> anyhow::Result<bool> {
+    let runs = read_journals(&fleet.folder)?;
+    let mut told: HashMap<String, String> = HashMap::new();
+    for record in records {
+        for line in std::fs::read_to_string(record)?.lines() {
+            if let Some((order, word)) = line.split_once(' ') {
+                told.insert(order.to_string(), word.to_string());
+            }
+        }
+    }
+    let mut writes: HashMap<&str, u32> = HashMap::new();
+    for ran in runs.iter().filter(|ran| ran.write) {
+        *writes.entry(&ran.order).or_default() += 1;
+    }
+    let twice = writes.values().filter(|count| **count > 1).count();
+    let after_not_run = writes
+        .keys()
+        .filter(|order| told.get(**order).is_some_and(|word| word == "not-run"))
+        .count();
+    let served_not_run = told
+        .iter()
+        .filter(|(order, word)| *word == "served" && !writes.contains_key(order.as_str()))
+        .count();
+    let mut by_slice: HashMap<&str, Vec<&Ran>> = HashMap::new();
+    for ran in &runs {
+        if let Some((slice, _)) = &ran.slice {
+            by_slice.entry(slice).or_default().push(ran);
+        }
+    }
+    let mut overlaps = 0;
+    for runs in by_slice.values_mut() {
+        runs.sort_by_key(|ran| ran.from);
+        for (place, ran) in runs.iter().enumerate() {
+            overlaps += runs[place + 1..]
+                .iter()
+                .take_while(|next| next.from < ran.to)
+                .filter(|next| next.instance != ran.instance)
+                .count();
+        }
+    }
+    let verdict = twice + after_not_run + served_not_run + overlaps == 0;
+    let json = jzon::object! {
+        orders_told: told.len(),
+        runs: runs.len(),
+        writes_run: writes.len(),
+        ran_twice: twice,
+        ran_after_not_run: after_not_run,
+        served_without_a_run: served_not_run,
+        two_owners_at_once: overlaps,
+        good: verdict,
+    };
+    println!("{}", json.pretty(2));
+    Ok(verdict && !told.is_empty())
+}
+
+fn named_or_end(fleet: &Fleet, names: &[String]) -> Vec<usize> {
+    let mut places = Vec::new();
+    for name in names {
+        let found = fleet.named(name);
+        if found.is_empty() {
+            end_over(&[OptionsFault {
+                file: "command line".to_string(),
+                field: name.clone(),
+                remedy: "is no process, program or area of this fleet: see workshop status"
+                    .to_string(),
+            }]);
+        }
+        places.extend(found);
+    }
+    places
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> anyhow::Result<()> {
+    let flags = read_flags(&flags());
+    if let Command::Up { scenario, base } = &flags.command {
+        return up(&flags.run, scenario, *base).await;
+    }
+    let mut fleet = Fleet::load(&flags.run).unwrap_or_else(|fault| end_over(&[fault]));
+    match &flags.command {
+        Command::Up { .. } => {}
+        Command::Down => down(&fleet).await,
+        Command::Status => {
+            for hand in &fleet.hands {
+                let word = if hand.lives() { "lives" } else { "ended" };
+                println!("{word} {:>8} {} {} {}", hand.process, hand.name, hand.area, hand.serving);
+            }
+        }
+        Command::Harm { signal, names } => {
+            for place in named_or_end(&fleet, names) {
+                let hand = &fleet.hands[place];
+                let done = hand.signal(*signal);
+                println!("{} {}", hand.name, if done { "done" } else { "was not alive" });
+            }
+        }
+        Command::Start { names } => {
+            for place in named_or_end(&fleet, names) {
+                fleet.start(place)?;
+                println!("{} started", fleet.hands[place].name);
+            }
+            fleet.save()?;
+        }
+        Command::Judge { records } => {
+            if !judge(&fleet, records)? {
+                std::process::exit(1);
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/workshop/src/scenario.rs
@@ -0,0 +1,147 @@
+//! A scenario file: what a fleet consists of.
+
+use crate::prelude::*;
+
+#[derive(Debug, Clone)]
+pub struct PoolPlan {
+    pub name: String,
+    pub instances: u32,
+    pub capacity: u32,
+    pub work_ms: u64,
+    pub pool: JsonValue,
+}
+
+#[derive(Debug, Clone)]
+pub struct Scenario {
+    pub file: PathBuf,
+    pub name: String,
+    pub areas: Vec<(String, String)>,
+    pub ledgers: Vec<String>,
+    pub proxies_per_area: u32,
+    pub proxy_capacity: u32,
+    pub directories: Vec<String>,
+    pub pools: Vec<PoolPlan>,
+    pub rules: JsonValue,
+}
+
+impl Scenario {
+    /// Reads and checks a scenario file; lists every fault.
+    pub fn read(path: &Path) -> Result<Self, Vec<OptionsFault>> {
+        let value = read_json_file(path).map_err(|fault| vec![fault])?;
+        let mut faults = Vec::new();
+        let mut fault = |field: String, remedy: &str| {
+            faults.push(OptionsFault {
+                file: path.display().to_string(),
+                field,
+                remedy: remedy.to_string(),
+            });
+        };
+        let known = [
+            "name",
+            "areas",
+            "ledgers",
+            "proxies_per_area",
+            "proxy_capacity",
+            "directories",
+            "pools",
+            "rules",
+            "traffic",
+        ];
+        for (name, _) in value.entries() {
+            if !known.contains(&name) {
+                fault(name.to_string(), "is not a known field: remove it");
+            }
+        }
+        let areas: Vec<(String, String)> = value["areas"]
+            .members()
+            .map(|area| {
+                let text = |name: &str| area[name].as_str().unwrap_or_default().to_string();
+                (text("name"), text("region"))
+            })
+            .collect();
+        if areas.is_empty() || areas.iter().any(|(name, region)| name.is_empty() || region.is_empty()) {
+            fault("areas".to_string(), "list at least one, each with name and region");
+        }
+        let mut placed = |field: &str, least: usize| -> Vec<String> {
+            let list: Vec<String> = value[field]
+                .members()
+                .map(|name| name.as_str().unwrap_or_default().to_string())
+                .collect();
+            if list.len() < least {
+                fault(field.to_string(), &format!("list at least {least} area names"));
+            }
+            for name in &list {
+                if !areas.iter().any(|(area, _)| area == name) {
+                    fault(field.to_string(), &format!("{name} is not one of the areas"));
+                }
+            }
+            list
+        };
+        let ledgers = placed("ledgers", 3);
+        let directories = placed("directories", 1);
+        let number = |item: &JsonValue, name: &str, otherwise: u32| {
+            item[name].as_u32().unwrap_or(otherwise)
+        };
+        let pools: Vec<PoolPlan> = value["pools"]
+            .members()
+            .map(|pool| PoolPlan {
+                name: pool["name"].as_str().unwrap_or_default().to_string(),
+                instances: number(pool, "instances", 0),
+                capacity: number(pool, "capacity", 50),
+                work_ms: u64::from(number(pool, "work_ms", 3)),
+                pool: pool["pool"].clone(),
+            })
+            .collect();
+        for (place, pool) in pools.iter().enumerate() {
+            if pool.name.is_empty() || pool.instances == 0 {
+                fault(format!("pools[{place}]"), "give a name and at least one instance");
+            }
+        }
+        if value["rules"].is_empty() || !value["rules"].is_array() {
+            fault("rules".to_string(), "list at least one rule");
+        }
+        if !faults.is_empty() {
+            return Err(faults);
+        }
+        Ok(Self {
+            file: path.to_path_buf(),
+            name: value["name"].as_str().unwrap_or("fleet").to_string(),
+            areas,
+            ledgers,
+            proxies_per_area: number(&value, "proxies_per_area", 3),
+            proxy_capacity: number(&value, "proxy_capacity", 100),
+            directories,
+            pools,
+            rules: value["rules"].clone(),
+        })
+    }
+
+    /// The change set that gives the fleet its standing orders.
+    pub fn standing(&self) -> JsonValue {
+        let mut puts = JsonValue::new_array();
+        let mut add = |put: JsonValue| {
+            // Why this cannot fail: it is an array.
+            let _ = puts.push(put);
+        };
+        for (name, region) in &self.areas {
+            add(jzon::object! {
+                kind: "area",
+                name: name.as_str(),
+                area: { region: region.as_str(), closed: false },
+            });
+        }
+        for pool in &self.pools {
+            add(jzon::object! {
+                kind: "pool",
+                name: pool.name.as_str(),
+                pool: pool.pool.clone(),
+            });
+        }
+        for rule in self.rules.members() {
+            let mut put = rule.clone();
+            put["kind"] = "rule".into();
+            add(put);
+        }
+        jzon::object! { id: format!("{}-first", self.name), put: puts }
+    }
+}
