--- a/crates/caller/src/main.rs
+++ b/crates/caller/src/main.rs
@@ -48,46 +48,6 @@
         .descr(HELP)
 }
 
-#[derive(Debug, Clone)]
-struct Traffic {
-    host: String,
-    path: String,
-    method: Method,
-    per_second: u64,
-    body: Bytes,
-    keys: u64,
-}
-
-fn read_traffic(path: &Path) -> Result<Vec<Traffic>, OptionsFault> {
-    let value = read_json_file(path)?;
-    let mut traffic = Vec::new();
-    for (place, item) in value["traffic"].members().enumerate() {
-        let fault = |field: &str| OptionsFault {
-            file: path.display().to_string(),
-            field: format!("traffic[{place}].{field}"),
-            remedy: "is missing or of the wrong type".to_string(),
-        };
-        let text = |field: &str| item[field].as_str().ok_or_else(|| fault(field));
-        let length = item["body_bytes"].as_usize().unwrap_or(0);
-        traffic.push(Traffic {
-            host: text("host")?.to_string(),
-            path: text("path")?.to_string(),
-            method: text("method")?.parse().map_err(|_| fault("method"))?,
-            per_second: item["per_second"].as_u64().ok_or_else(|| fault("per_second"))?,
-            body: Bytes::from(vec![b'c'; length]),
-            keys: item["keys"].as_u64().unwrap_or(0),
-        });
-    }
-    if traffic.is_empty() {
-        return Err(OptionsFault {
-            file: path.display().to_string(),
-            field: "traffic".to_string(),
-            remedy: "is missing: list at least one kind of order".to_string(),
-        });
-    }
-    Ok(traffic)
-}
-
 /// What came of the orders of one kind.
 #[derive(Debug, Default)]
 struct Count {
@@ -104,6 +64,7 @@
 struct Callers {
     flags: Flags,
     traffic: Vec<Traffic>,
+    bodies: Vec<Bytes>,
     clock: Clock,
     run: u64,
     numbers: AtomicU64,
@@ -174,7 +135,7 @@
                 .from(IpAddr::from([127, 10, group, 1]))
                 .patience(Duration::from_secs(6));
             fetch.method = traffic.method.clone();
-            fetch.body = traffic.body.clone();
+            fetch.body = self.bodies[kind].clone();
             if traffic.keys > 0 {
                 fetch = fetch.header("x-key", format!("key-{}", mix(number) % traffic.keys));
             }
@@ -254,7 +215,8 @@
 async fn main() -> anyhow::Result<()> {
     let flags = read_flags(&flags());
     start_log()?;
-    let traffic = read_traffic(&flags.scenario).unwrap_or_else(|fault| end_over(&[fault]));
+    let scenario = Scenario::read(&flags.scenario).unwrap_or_else(|faults| end_over(&faults));
+    let traffic = scenario.traffic;
     let record = match &flags.record {
         None => None,
         Some(path) => Some(Mutex::new(
@@ -263,6 +225,7 @@
     };
     let callers = Arc::new(Callers {
         counts: traffic.iter().map(|_| Mutex::default()).collect(),
+        bodies: traffic.iter().map(|kind| Bytes::from(vec![b'c'; kind.body_bytes])).collect(),
         traffic,
         clock: Clock::start(),
         run: fresh_seed() >> 32,
--- a/crates/caperworks/src/tenure.rs
+++ b/crates/caperworks/src/tenure.rs
@@ -298,6 +298,19 @@
                 .is_some_and(|(held, until)| *held == epoch && now + need < *until)
     }
 
+    /// The slices that may be worked on now, and how long the longest hold still lives.
+    pub fn live(&self, now: Duration) -> (Vec<u32>, Duration) {
+        let mut slices = Vec::new();
+        let mut longest = Duration::ZERO;
+        for (slice, (epoch, until)) in &self.held {
+            if self.may_start(now, *slice, *epoch, Duration::ZERO) {
+                slices.push(*slice);
+                longest = longest.max(until.saturating_sub(now));
+            }
+        }
+        (slices, longest)
+    }
+
     pub fn started(&mut self, slice: u32) {
         *self.under_way.entry(slice).or_default() += 1;
     }
--- a/crates/mentor/src/machine.rs
+++ b/crates/mentor/src/machine.rs
@@ -24,7 +24,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum MentorOutput {
     Send { to: SocketAddr, message: Message },
-    AnswerBeat { ticket: u64, answer: BeatAnswer },
+    /// `None` when no ledger heard the beat: the instance must take it elsewhere.
+    AnswerBeat { ticket: u64, answer: Option<BeatAnswer> },
     Note { event: MentorEvent },
 }
 
@@ -41,6 +42,8 @@
     ticket: u64,
     number: u64,
     until: Duration,
+    /// The answer of a ledger that is not the keeper: it heard the beat, no more.
+    spread: Option<BeatAnswer>,
 }
 
 pub struct MentorMachine {
@@ -132,15 +135,12 @@
             let event = MentorEvent::InstanceGone { id };
             outputs.push(MentorOutput::Note { event });
         }
-        self.beats.retain(|waiting| {
+        self.beats.retain_mut(|waiting| {
             let over = now >= waiting.until;
             if over {
                 outputs.push(MentorOutput::AnswerBeat {
                     ticket: waiting.ticket,
-                    answer: BeatAnswer {
-                        holds: Vec::new(),
-                        release: Vec::new(),
-                    },
+                    answer: waiting.spread.take(),
                 });
             }
             !over
@@ -160,9 +160,17 @@
                 let Some(place) = self.beats.iter().position(|beat| beat.number == ticket) else {
                     return;
                 };
+                let keeper = self.link.keeper();
+                // Why wait on: this ledger heard the beat, but only the keeper renews holds.
+                if keeper.is_some_and(|keeper| keeper != envelope.reply_to) {
+                    self.beats[place].spread = Some(answer);
+                    return;
+                }
                 let waiting = self.beats.swap_remove(place);
-                let ticket = waiting.ticket;
-                outputs.push(MentorOutput::AnswerBeat { ticket, answer });
+                outputs.push(MentorOutput::AnswerBeat {
+                    ticket: waiting.ticket,
+                    answer: Some(answer),
+                });
             }
             Message::Pull { pull } => {
                 let view = self.view(now, &pull);
@@ -209,6 +217,7 @@
             ticket,
             number: self.next_beat,
             until: now + BEAT_PATIENCE,
+            spread: None,
         });
         let keeper = self.link.keeper();
         let ledger = self.link.ledger();
@@ -226,8 +235,7 @@
             outputs.push(MentorOutput::Send {
                 to: ledger,
                 message: Message::BeatNote {
-                    // Why zero: this one's answer is not the keeper's and must settle nothing.
-                    ticket: if keeper.is_none() { self.next_beat } else { 0 },
+                    ticket: self.next_beat,
                     heard,
                 },
             });
--- a/crates/mentor/src/main.rs
+++ b/crates/mentor/src/main.rs
@@ -9,7 +9,7 @@
 struct Worker {
     machine: MentorMachine,
     port: ControlPort,
-    tickets: Arc<Tickets<BeatAnswer>>,
+    tickets: Arc<Tickets<Option<BeatAnswer>>>,
 }
 
 impl Host for Worker {
@@ -39,7 +39,7 @@
 
 async fn answer(
     inbox: Inbox<MentorInput>,
-    tickets: Arc<Tickets<BeatAnswer>>,
+    tickets: Arc<Tickets<Option<BeatAnswer>>>,
     order: Request<Incoming>,
 ) -> Response<Body> {
     match (order.method(), order.uri().path()) {
@@ -56,8 +56,8 @@
             let (ticket, answer) = tickets.draw();
             inbox.give(MentorInput::Beat { ticket, beat });
             match answer.await {
-                Ok(answer) => json_answer(200, &beats::write_answer(&answer)),
-                Err(_) => json_answer(503, &jzon::object! { why: "this agent is about to stop" }),
+                Ok(Some(answer)) => json_answer(200, &beats::write_answer(&answer)),
+                _ => json_answer(503, &jzon::object! { why: "no ledger heard the beat" }),
             }
         }
         _ => json_answer(404, &jzon::object! { why: "there is no such resource" }),
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -0,0 +1,9 @@
+//! The seeded simulator: the whole fleet in memory, running the daemons' own state machines in
+//! virtual time, with observers outside the fleet that hold the truth.
+
+pub mod actors;
+pub mod day;
+pub mod network;
+pub mod observers;
+pub mod prelude;
+pub mod world;
--- /dev/null
+++ b/crates/rehearsal/src/observers.rs
@@ -0,0 +1,406 @@
+//! Observers: they stand outside the fleet, hold the truth, and judge all the time.
+
+use crate::prelude::*;
+
+/// One breach of a line that must never be crossed.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Breach {
+    pub line: Line,
+    pub at: Duration,
+    pub what: String,
+}
+
+/// The lines of the brief, by short names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Line {
+    RanTwice,
+    RanAfterNotRun,
+    WrongAnswer,
+    ReachedLeaving,
+    OldConfiguration,
+    SlippedBack,
+    ForkedBook,
+    LostChange,
+    PartApplied,
+    ClosedArea,
+    TooManyRetries,
+    ColdFlooded,
+    TwoOwners,
+    HoldTooLong,
+    LeftHome,
+    NotRecovered,
+}
+
+pub const LEAVING_LIMIT: Duration = Duration::from_millis(4000);
+pub const CONFIGURATION_LIMIT: Duration = Duration::from_millis(4000);
+pub const CLOSED_LIMIT: Duration = Duration::from_millis(5000);
+pub const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
+const RETRY_FEW_DOZEN: u64 = 36;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ToldCaller {
+    Served,
+    NotRun,
+    Unknown,
+}
+
+#[derive(Debug, Clone)]
+struct AcceptedChange {
+    at: Duration,
+    edition: Edition,
+    id: ChangeId,
+}
+
+/// Counts of a whole run, for the measurements.
+#[derive(Debug, Clone, Default)]
+pub struct Tally {
+    pub sent: u64,
+    pub served: u64,
+    pub not_run: u64,
+    pub unknown: u64,
+    pub shots: u64,
+    pub retries: u64,
+    pub cross_area: u64,
+    pub cross_region: u64,
+    pub accepted: u64,
+    pub refused_changes: u64,
+    pub unknown_changes: u64,
+    pub no_majority: u64,
+    pub recoveries: Vec<Duration>,
+    pub mappings: u64,
+}
+
+#[derive(Default)]
+pub struct Observers {
+    pub breaches: Vec<Breach>,
+    pub tally: Tally,
+    runs: HashMap<u64, u32>,
+    told: HashMap<u64, ToldCaller>,
+    writes: HashSet<u64>,
+    leaving: HashMap<(InstanceId, Incarnation), Duration>,
+    accepted: Vec<AcceptedChange>,
+    proposed: HashMap<ChangeId, Change>,
+    refused: HashSet<ChangeId>,
+    closed: HashMap<Area, Duration>,
+    pool_shots: HashMap<PoolName, VecDeque<(Duration, bool)>>,
+    cold_shots: HashMap<(InstanceId, Incarnation), VecDeque<Duration>>,
+    effects: HashMap<(PoolName, u32), Vec<(Duration, Duration, InstanceId)>>,
+    proxy_editions: HashMap<usize, Edition>,
+    /// Served and sent by second, for the recovery line.
+    seconds: BTreeMap<u64, (u64, u64)>,
+    big_faults: Vec<Duration>,
+}
+
+/// What an instance was sent, as seen when it got there.
+pub struct Reached<'order> {
+    pub order: u64,
+    pub instance: &'order Beat,
+    pub cold: bool,
+    pub pool: &'order Pool,
+    pub rule: &'order Rule,
+    pub region: &'order Region,
+    pub proxy_area: &'order Area,
+    pub proxy_region: &'order Region,
+    pub standing: Edition,
+}
+
+impl Observers {
+    fn breach(&mut self, line: Line, at: Duration, what: impl Into<String>) {
+        if self.breaches.len() < 200 {
+            self.breaches.push(Breach { line, at, what: what.into() });
+        }
+    }
+
+    pub fn breached(&self) -> BTreeSet<Line> {
+        self.breaches.iter().map(|breach| breach.line).collect()
+    }
+
+    pub fn sent(&mut self, at: Duration, order: u64, write: bool) {
+        self.tally.sent += 1;
+        self.seconds.entry(at.as_secs()).or_default().0 += 1;
+        if write {
+            self.writes.insert(order);
+        }
+    }
+
+    /// The work of an order took effect.
+    pub fn ran(&mut self, at: Duration, order: u64, instance: &InstanceId) {
+        let runs = self.runs.entry(order).or_default();
+        *runs += 1;
+        let write = self.writes.contains(&order);
+        if write && *runs > 1 {
+            self.breach(Line::RanTwice, at, format!("order {order} at {instance}"));
+        }
+        if self.told.get(&order) == Some(&ToldCaller::NotRun) {
+            self.breach(Line::RanAfterNotRun, at, format!("order {order} at {instance}"));
+        }
+    }
+
+    pub fn told(&mut self, at: Duration, sent_at: Duration, order: u64, told: ToldCaller, answered: Option<u64>) {
+        self.told.insert(order, told);
+        match told {
+            ToldCaller::Served => {
+                self.tally.served += 1;
+                self.seconds.entry(sent_at.as_secs()).or_default().1 += 1;
+                if answered != Some(order) || !self.runs.contains_key(&order) {
+                    let what = format!("order {order} was answered with {answered:?}");
+                    self.breach(Line::WrongAnswer, at, what);
+                }
+            }
+            ToldCaller::NotRun => {
+                self.tally.not_run += 1;
+                if self.runs.contains_key(&order) {
+                    self.breach(Line::RanAfterNotRun, at, format!("order {order} had run"));
+                }
+            }
+            ToldCaller::Unknown => self.tally.unknown += 1,
+        }
+    }
+
+    /// A ledger heard that an instance is leaving.
+    pub fn heard_leaving(&mut self, at: Duration, beat: &Beat) {
+        self.leaving
+            .entry((beat.id.clone(), beat.incarnation))
+            .or_insert(at);
+    }
+
+    pub fn shot(&mut self, at: Duration, pool: &PoolName, further: bool) {
+        self.tally.shots += 1;
+        self.tally.retries += u64::from(further);
+        let window = self.pool_shots.entry(pool.clone()).or_default();
+        window.push_back((at, further));
+        while window
+            .front()
+            .is_some_and(|(first, _)| at.saturating_sub(*first) > Duration::from_secs(10))
+        {
+            window.pop_front();
+        }
+        let further = window.iter().filter(|(_, further)| *further).count() as u64;
+        let first = window.len() as u64 - further;
+        if further > first / 5 + RETRY_FEW_DOZEN {
+            let what = format!("pool {pool}: {further} retries to {first} first shots in 10 s");
+            self.breach(Line::TooManyRetries, at, what);
+        }
+    }
+
+    pub fn reached(&mut self, at: Duration, reached: &Reached<'_>) {
+        let beat = reached.instance;
+        let key = (beat.id.clone(), beat.incarnation);
+        if let Some(since) = self.leaving.get(&key) {
+            if at.saturating_sub(*since) > LEAVING_LIMIT {
+                let what = format!("order {} reached leaving {}", reached.order, beat.id);
+                self.breach(Line::ReachedLeaving, at, what);
+            }
+        }
+        let newer = self.accepted.iter().find(|accepted| {
+            accepted.edition > reached.standing
+                && at.saturating_sub(accepted.at) > CONFIGURATION_LIMIT
+        });
+        if let Some(newer) = newer {
+            let what = format!(
+                "order {} went under edition {}, {} was accepted at {:?}",
+                reached.order, reached.standing, newer.edition, newer.at
+            );
+            self.breach(Line::OldConfiguration, at, what);
+        }
+        for area in [&beat.area, reached.proxy_area] {
+            if let Some(since) = self.closed.get(area) {
+                if at.saturating_sub(*since) > CLOSED_LIMIT {
+                    let what = format!("order {} in closed area {area}", reached.order);
+                    self.breach(Line::ClosedArea, at, what);
+                }
+            }
+        }
+        if reached.rule.home.as_ref().is_some_and(|home| {
+            home != reached.region || home != reached.proxy_region
+        }) {
+            let what = format!("order {} at {} in {}", reached.order, beat.id, reached.region);
+            self.breach(Line::LeftHome, at, what);
+        }
+        self.tally.cross_area += u64::from(beat.area != *reached.proxy_area);
+        self.tally.cross_region += u64::from(reached.region != reached.proxy_region);
+        if reached.cold {
+            let window = self.cold_shots.entry(key).or_default();
+            window.push_back(at);
+            while window
+                .front()
+                .is_some_and(|first| at.saturating_sub(*first) > Duration::from_secs(3))
+            {
+                window.pop_front();
+            }
+            let limit = reached.pool.gentle_per_second as usize * 3 * 5 / 4 + 6;
+            if window.len() > limit {
+                let what = format!("{} got {} orders in 3 s", beat.id, window.len());
+                self.breach(Line::ColdFlooded, at, what);
+            }
+        }
+    }
+
+    /// Work on a slice went on at an instance over this stretch of time.
+    pub fn worked_on(&mut self, pool: &PoolName, slice: u32, from: Duration, to: Duration, instance: &InstanceId) {
+        let effects = self.effects.entry((pool.clone(), slice)).or_default();
+        let clash = effects
+            .iter()
+            .rev()
+            .take(64)
+            .find(|(start, end, other)| other != instance && *start < to && from < *end)
+            .map(|(_, _, other)| other.clone());
+        effects.push((from, to, instance.clone()));
+        if let Some(other) = clash {
+            let what = format!("slice {slice} of {pool} at {instance} and {other}");
+            self.breach(Line::TwoOwners, to, what);
+        }
+    }
+
+    /// Looks at what all live instances believe that they hold.
+    pub fn holdings(&mut self, at: Duration, live: &[(&PoolName, &InstanceId, Vec<u32>, Duration)]) {
+        let mut holders: HashMap<(&PoolName, u32), &InstanceId> = HashMap::new();
+        let mut clashes = Vec::new();
+        for (pool, instance, slices, longest) in live {
+            if *longest > Duration::from_secs(10) {
+                clashes.push((Line::HoldTooLong, format!("{instance} holds for {longest:?}")));
+            }
+            for slice in slices {
+                if let Some(other) = holders.insert((pool, *slice), instance) {
+                    let what = format!("slice {slice} of {pool} held by {instance} and {other}");
+                    clashes.push((Line::TwoOwners, what));
+                }
+            }
+        }
+        for (line, what) in clashes {
+            self.breach(line, at, what);
+        }
+    }
+
+    pub fn proposed(&mut self, change: &Change) {
+        self.proposed.insert(change.id.clone(), change.clone());
+    }
+
+    pub fn verdict(&mut self, at: Duration, change: &Change, verdict: &Verdict) {
+        match verdict {
+            Verdict::Accepted(edition) | Verdict::Repeat(edition) => {
+                self.tally.accepted += 1;
+                let clash = self
+                    .accepted
+                    .iter()
+                    .find(|known| (known.edition == *edition) != (known.id == change.id))
+                    .cloned();
+                if let Some(known) = clash {
+                    let what = format!(
+                        "{} at {edition}, but {} at {}",
+                        change.id, known.id, known.edition
+                    );
+                    self.breach(Line::ForkedBook, at, what);
+                }
+                if self.refused.contains(&change.id) {
+                    self.breach(Line::PartApplied, at, format!("{} was refused before", change.id));
+                }
+                if self.accepted.iter().any(|known| known.id == change.id) {
+                    return;
+                }
+                for put in &change.puts {
+                    if let (Some(area), Some(Value::Area { area: order })) =
+                        (put.key.strip_prefix("area/"), &put.value)
+                    {
+                        if order.closed {
+                            self.closed.insert(Area::new(area), at);
+                        } else {
+                            self.closed.remove(&Area::new(area));
+                        }
+                    }
+                }
+                self.accepted.push(AcceptedChange { at, edition: *edition, id: change.id.clone() });
+            }
+            Verdict::Unknown => self.tally.unknown_changes += 1,
+            Verdict::NoMajority => {
+                self.tally.no_majority += 1;
+                self.refused.insert(change.id.clone());
+            }
+            Verdict::Conflicts(_) | Verdict::Faulty(_) | Verdict::IdTaken(_) => {
+                self.tally.refused_changes += 1;
+                self.refused.insert(change.id.clone());
+            }
+        }
+    }
+
+    /// An area was asked to be opened: from here on an order there is no breach.
+    pub fn opening(&mut self, area: &Area) {
+        self.closed.remove(area);
+    }
+
+    pub fn proxy_holds(&mut self, at: Duration, proxy: usize, edition: Edition) {
+        let before = self.proxy_editions.insert(proxy, edition).unwrap_or_default();
+        if edition < before {
+            let what = format!("proxy {proxy} went from {before} to {edition}");
+            self.breach(Line::SlippedBack, at, what);
+        }
+    }
+
+    pub fn proxy_restarted(&mut self, proxy: usize) {
+        self.proxy_editions.remove(&proxy);
+    }
+
+    pub fn big_fault(&mut self, at: Duration) {
+        self.big_faults.push(at);
+    }
+
+    /// At day's end: every accepted change must be in the book, whole, and nothing refused.
+    pub fn read_back(&mut self, at: Duration, name: &str, book: &Book) {
+        for accepted in self.accepted.clone() {
+            let found = book.answered.iter().find(|answered| answered.id == accepted.id);
+            // Why the count: a book forgets the oldest change ids.
+            let forgotten = book.edition.0 > accepted.edition.0 + REMEMBERED_CHANGES as u64 - 1;
+            let good = found.is_some_and(|answered| answered.edition == accepted.edition);
+            if !good && !forgotten {
+                let what = format!("{name} lacks {} of edition {}", accepted.id, accepted.edition);
+                self.breach(Line::LostChange, at, what);
+            }
+        }
+        let mut replayed = Book::empty();
+        for answered in &book.answered {
+            let Some(change) = self.proposed.get(&answered.id).cloned() else {
+                return;
+            };
+            if self.refused.contains(&answered.id) {
+                self.breach(Line::PartApplied, at, format!("{name} holds refused {}", answered.id));
+            }
+            if replayed.weigh(&change) != Standpoint::Fits {
+                let what = format!("{name}: {} does not fit where it stands", answered.id);
+                self.breach(Line::ForkedBook, at, what);
+            }
+            replayed.apply(&change);
+        }
+        if book.answered.len() < REMEMBERED_CHANGES && replayed.items != book.items {
+            self.breach(Line::LostChange, at, format!("{name} does not read back intact"));
+        }
+    }
+
+    /// After a big fault: most traffic must be served again within the limit.
+    pub fn judge_recovery(&mut self, end: Duration) {
+        for fault in self.big_faults.clone() {
+            let begin = fault.as_secs() + 1;
+            let good = |second: u64| {
+                self.seconds
+                    .get(&second)
+                    .is_some_and(|(sent, served)| served * 2 > *sent)
+            };
+            // Why three in a row: one good second between bad ones is no recovery.
+            let last = end.as_secs().saturating_sub(4);
+            let recovered = (begin..last).find(|second| (*second..*second + 3).all(good));
+            let span = recovered.map(|second| Duration::from_secs(second - begin + 1));
+            match span {
+                Some(span) => {
+                    self.tally.recoveries.push(span);
+                    if span > RECOVERY_LIMIT {
+                        let what = format!("most traffic served again only after {span:?}");
+                        self.breach(Line::NotRecovered, fault, what);
+                    }
+                }
+                None if end > fault + RECOVERY_LIMIT + Duration::from_secs(4) => {
+                    self.breach(Line::NotRecovered, fault, "most traffic stayed unserved");
+                }
+                None => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/world.rs
@@ -0,0 +1,1190 @@
+//! The world: virtual time, the nodes, and everything that travels between them.
+
+use crate::prelude::*;
+
+const TICK: Duration = Duration::from_millis(25);
+const BEAT_PERIOD: Duration = Duration::from_millis(500);
+const BEAT_PATIENCE: Duration = Duration::from_millis(1000);
+const OBSERVE_PERIOD: Duration = Duration::from_millis(100);
+
+pub enum Body {
+    Ledger(Box<LedgerMachine>),
+    Mentor(Box<MentorMachine>),
+    Proxy(Box<SimProxy>),
+    Cuesheet(Box<CuesheetMachine>),
+    Instance(Box<SimInstance>),
+}
+
+/// What a node is made of when it starts.
+#[derive(Debug, Clone)]
+pub enum Kind {
+    Ledger,
+    Mentor,
+    Proxy { agent: usize, capacity: u32 },
+    Cuesheet,
+    Instance { pool: PoolName, capacity: u32, work_span: Duration, agents: Vec<usize> },
+}
+
+pub struct Node {
+    pub name: String,
+    pub area: Area,
+    pub address: SocketAddr,
+    pub kind: Kind,
+    pub body: Option<Body>,
+    /// Grows with every start and end, so that what was meant for another life is not heard.
+    pub life: u64,
+    pub started_at: Duration,
+    pub frozen: bool,
+    /// The machine is without power: it resets no circuits.
+    pub dark: bool,
+    pub backlog: Vec<Happening>,
+    /// How the node's clock runs, in parts per million.
+    pub clock_rate: i64,
+    pub disk: SimDisk,
+    pub left_for_good: bool,
+}
+
+#[derive(Debug, Clone)]
+pub enum Happening {
+    Tick,
+    Control { envelope: Box<Envelope> },
+    Synced { ticket: u64, well: bool },
+    CallerOrder { order: Order, group: String, locality: Duration },
+    Open { order: u64, shot: u32, proxy: usize, proxy_life: u64, incarnation: Incarnation },
+    Opened { order: u64, shot: u32 },
+    Arrive { order: u64, shot: u32, proxy: usize, proxy_life: u64, target: Box<Target>, rule: Box<Rule>, standing: Edition, need: Duration },
+    Ended { order: u64, shot: u32, end: ShotEnd, answer: Option<InstanceAnswer> },
+    WorkDone { work: usize },
+    OrderWake { order: u64, at: Duration },
+    BeatPost { beat: Box<Beat>, number: u64, instance: usize, instance_life: u64 },
+    BeatAnswered { number: u64, answer: Option<BeatAnswer> },
+}
+
+enum Event {
+    At { node: usize, life: u64, happening: Happening },
+    Caller { kind: usize },
+    Operator,
+    Fault { place: usize },
+    Observe,
+}
+
+struct Queued {
+    at: Duration,
+    number: u64,
+    event: Event,
+}
+
+impl PartialEq for Queued {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.number) == (other.at, other.number)
+    }
+}
+impl Eq for Queued {}
+impl PartialOrd for Queued {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Queued {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (other.at, other.number).cmp(&(self.at, self.number))
+    }
+}
+
+/// A beat that a mentor has and whose answer it owes.
+struct BeatTicket {
+    instance: usize,
+    instance_life: u64,
+    number: u64,
+}
+
+pub struct World {
+    pub now: Duration,
+    pub chance: Chance,
+    pub nodes: Vec<Node>,
+    pub network: Network,
+    pub observers: Observers,
+    pub day: Day,
+    pub scenario: Scenario,
+    pub regions: BTreeMap<Area, Region>,
+    pub by_address: HashMap<SocketAddr, usize>,
+    queue: BinaryHeap<Queued>,
+    queued: u64,
+    next_order: u64,
+    tickets: HashMap<(usize, u64), BeatTicket>,
+    next_ticket: u64,
+    operator_calls: HashMap<u64, Change>,
+    next_call: u64,
+    known_editions: HashMap<String, Edition>,
+    seeds: Vec<SocketAddr>,
+}
+
+fn address_of(place: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (place / 200) as u8, (place % 200) as u8 + 1], 7000))
+}
+
+impl World {
+    pub fn new(scenario: Scenario, day: Day, seed: u64) -> Self {
+        let mut world = Self {
+            now: Duration::ZERO,
+            chance: Chance::seeded(seed),
+            nodes: Vec::new(),
+            network: Network {
+                same_area: Duration::from_micros(200),
+                same_region: Duration::from_millis(1),
+                other_region: scenario.region_distance / 2,
+                loss_per_thousand: day.loss_per_thousand,
+                cuts: Vec::new(),
+            },
+            observers: Observers::default(),
+            regions: scenario
+                .areas
+                .iter()
+                .map(|(area, region)| (Area::new(area), Region::new(region)))
+                .collect(),
+            day,
+            scenario,
+            by_address: HashMap::new(),
+            queue: BinaryHeap::new(),
+            queued: 0,
+            next_order: 0,
+            tickets: HashMap::new(),
+            next_ticket: 0,
+            operator_calls: HashMap::new(),
+            next_call: 0,
+            known_editions: HashMap::new(),
+            seeds: Vec::new(),
+        };
+        world.people();
+        world
+    }
+
+    fn add(&mut self, name: String, area: &str, kind: Kind) -> usize {
+        let place = self.nodes.len();
+        let address = address_of(place);
+        self.by_address.insert(address, place);
+        let clock_rate = self.chance.below(8001) as i64 - 4000;
+        self.nodes.push(Node {
+            name,
+            area: Area::new(area),
+            address,
+            kind,
+            body: None,
+            life: 0,
+            started_at: Duration::ZERO,
+            frozen: false,
+            dark: false,
+            backlog: Vec::new(),
+            clock_rate,
+            disk: SimDisk::default(),
+            left_for_good: false,
+        });
+        place
+    }
+
+    /// Makes all nodes of the scenario and starts them within a moment.
+    fn people(&mut self) {
+        let scenario = self.scenario.clone();
+        for (number, area) in scenario.ledgers.iter().enumerate() {
+            let place = self.add(format!("ledger-{}", number + 1), area, Kind::Ledger);
+            if number < 3 {
+                self.seeds.push(address_of(place));
+            }
+        }
+        let mut agents = Vec::new();
+        for (area, _) in &scenario.areas {
+            for number in 1..=scenario.proxies_per_area {
+                let agent = self.add(format!("mentor-{area}-{number}"), area, Kind::Mentor);
+                agents.push(agent);
+                let kind = Kind::Proxy { agent, capacity: scenario.proxy_capacity };
+                self.add(format!("playout-{area}-{number}"), area, kind);
+            }
+        }
+        for (number, area) in scenario.directories.iter().enumerate() {
+            self.add(format!("cuesheet-{}", number + 1), area, Kind::Cuesheet);
+        }
+        for pool in &scenario.pools {
+            for number in 0..pool.instances as usize {
+                let area = &scenario.areas[number % scenario.areas.len()].0;
+                let kind = Kind::Instance {
+                    pool: PoolName::new(&pool.name),
+                    capacity: pool.capacity,
+                    work_span: Duration::from_millis(pool.work_ms),
+                    agents: (0..4).map(|turn| agents[(number + turn * 3) % agents.len()]).collect(),
+                };
+                self.add(format!("{}-{}", pool.name, number + 1), area, kind);
+            }
+        }
+        for place in 0..self.nodes.len() {
+            self.start(place);
+        }
+        for kind in 0..self.scenario.traffic.len() {
+            self.push(self.day.traffic_from, Event::Caller { kind });
+        }
+        self.push(Duration::from_millis(1500), Event::Operator);
+        for place in 0..self.day.faults.len() {
+            self.push(self.day.faults[place].at, Event::Fault { place });
+        }
+        self.push(OBSERVE_PERIOD, Event::Observe);
+    }
+
+    fn push(&mut self, at: Duration, event: Event) {
+        self.queued += 1;
+        let number = self.queued;
+        self.queue.push(Queued { at, number, event });
+    }
+
+    fn push_at(&mut self, node: usize, after: Duration, happening: Happening) {
+        let life = self.nodes[node].life;
+        self.push(self.now + after, Event::At { node, life, happening });
+    }
+
+    /// The node's own monotonic time.
+    fn local(&self, node: usize) -> Duration {
+        let node = &self.nodes[node];
+        let span = self.now.saturating_sub(node.started_at);
+        let drift = span.as_nanos() as i128 * i128::from(node.clock_rate) / 1_000_000;
+        Duration::from_nanos((span.as_nanos() as i128 + drift).max(0) as u64)
+    }
+
+    /// From a node's own time to the world's.
+    fn after_local(&self, node: usize, at: Duration) -> Duration {
+        let ahead = at.saturating_sub(self.local(node));
+        let rate = self.nodes[node].clock_rate;
+        let nanos = ahead.as_nanos() as i128 * 1_000_000 / i128::from(1_000_000 + rate);
+        Duration::from_nanos(nanos as u64) + Duration::from_micros(1)
+    }
+
+    fn delay(&mut self, from: usize, to: usize) -> Duration {
+        let (one, other) = (&self.nodes[from].area, &self.nodes[to].area);
+        let base = if one == other {
+            self.network.same_area
+        } else if self.regions.get(one) == self.regions.get(other) {
+            self.network.same_region
+        } else {
+            self.network.other_region
+        };
+        base + Duration::from_micros(self.chance.below(base.as_micros() as u64 / 2 + 100))
+    }
+
+    /// Sends something from node to node; says whether it is on its way.
+    fn send(&mut self, from: usize, to: usize, happening: Happening) -> bool {
+        let lost = self.chance.below(1000) < self.network.loss_per_thousand;
+        if self.network.is_cut(from, to) || (lost && matches!(happening, Happening::Control { .. })) {
+            return false;
+        }
+        let delay = self.delay(from, to);
+        self.push_at(to, delay, happening);
+        true
+    }
+
+    pub fn start(&mut self, place: usize) {
+        if self.nodes[place].body.is_some() || self.nodes[place].left_for_good {
+            return;
+        }
+        let seed = self.chance.draw();
+        let seeds = self.seeds.clone();
+        let node = &self.nodes[place];
+        let (area, address) = (node.area.clone(), node.address);
+        let mut outputs = Vec::new();
+        let body = match &node.kind {
+            Kind::Ledger => {
+                let options = LedgerOptions::new(address, area, seeds)
+                    .disk_room(8 * 1024 * 1024, 64 * 1024)
+                    .broken(self.day.broken_ledger);
+                let (machine, first) = LedgerMachine::start(options, &node.disk.synced, seed);
+                outputs = first;
+                Body::Ledger(Box::new(machine))
+            }
+            Kind::Mentor => {
+                let options = MentorOptions { control: address, area, seeds };
+                let mut machine = MentorMachine::start(options, seed);
+                if self.day.careless_mentors {
+                    machine.be_careless();
+                }
+                Body::Mentor(Box::new(machine))
+            }
+            Kind::Proxy { capacity, .. } => {
+                let broken = self.day.broken_proxy;
+                Body::Proxy(Box::new(SimProxy::new(area, address, *capacity, seed, broken)))
+            }
+            Kind::Cuesheet => {
+                let options = CuesheetOptions { control: address, serving: address, area, seeds };
+                Body::Cuesheet(Box::new(CuesheetMachine::start(options, seed)))
+            }
+            Kind::Instance { pool, capacity, work_span, agents } => {
+                Body::Instance(Box::new(SimInstance {
+                    id: InstanceId::new(&node.name),
+                    pool: pool.clone(),
+                    area,
+                    address,
+                    capacity: *capacity,
+                    work_span: *work_span,
+                    incarnation: Incarnation(node.life + 1),
+                    counter: 0,
+                    leaving: false,
+                    holdings: Holdings::default(),
+                    agents: agents.clone(),
+                    agent: 0,
+                    next_beat: Duration::ZERO,
+                    beat_sent: HashMap::new(),
+                    unheard: 0,
+                    work: Slab::new(),
+                    loses_answers: 0,
+                    sends_garbage: 0,
+                    careless: self.day.careless_instances,
+                }))
+            }
+        };
+        let now = self.now;
+        let node = &mut self.nodes[place];
+        node.life += 1;
+        node.body = Some(body);
+        node.frozen = false;
+        node.dark = false;
+        node.backlog.clear();
+        node.started_at = now;
+        if let Kind::Proxy { .. } = node.kind {
+            self.observers.proxy_restarted(place);
+        }
+        let offset = Duration::from_micros(self.chance.below(25_000));
+        self.push_at(place, offset, Happening::Tick);
+        self.act_ledger(place, outputs);
+    }
+
+    /// Ends a process. With the power, what was not synced may be lost and nothing is reset.
+    pub fn end(&mut self, place: usize, power: bool) {
+        let Some(body) = self.nodes[place].body.take() else {
+            return;
+        };
+        let node = &mut self.nodes[place];
+        node.life += 1;
+        node.frozen = false;
+        node.dark = power;
+        node.backlog.clear();
+        if power {
+            node.disk.power_lost(&mut self.chance);
+        } else {
+            node.disk.process_ended();
+        }
+        if power {
+            return;
+        }
+        match body {
+            // A process that ends resets its circuits: the other side learns of it.
+            Body::Instance(instance) => {
+                for (_, work) in &instance.work {
+                    if self.nodes[work.proxy].life == work.proxy_life {
+                        let (order, shot) = (work.order, work.shot);
+                        let ended = Happening::Ended { order, shot, end: ShotEnd::Lost, answer: None };
+                        self.send(place, work.proxy, ended);
+                    }
+                }
+            }
+            Body::Proxy(proxy) => {
+                for carried in proxy.carried.into_values() {
+                    let order = carried.order;
+                    self.observers.told(self.now, order.sent_at, order.number, ToldCaller::Unknown, None);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Runs until the end of the day, then reads everything back.
+    pub fn run(&mut self) {
+        let end = self.day.length;
+        while let Some(queued) = self.queue.pop() {
+            if queued.at > end {
+                break;
+            }
+            self.now = queued.at;
+            match queued.event {
+                Event::At { node, life, happening } => self.happen(node, life, happening),
+                Event::Caller { kind } => self.caller(kind),
+                Event::Operator => self.operator(),
+                Event::Fault { place } => {
+                    let fault = self.day.faults[place].clone();
+                    self.fault(&fault);
+                }
+                Event::Observe => self.observe(),
+            }
+        }
+        self.now = end;
+        self.read_back();
+        self.observers.judge_recovery(end);
+    }
+
+    fn happen(&mut self, place: usize, life: u64, happening: Happening) {
+        let node = &mut self.nodes[place];
+        if node.life != life || node.body.is_none() {
+            // Why an answer: a live machine without the process resets what comes in.
+            if !node.dark && node.body.is_none() {
+                self.reset(place, &happening);
+            }
+            return;
+        }
+        if node.frozen {
+            if matches!(happening, Happening::Tick) {
+                self.push_at(place, TICK, Happening::Tick);
+            } else {
+                node.backlog.push(happening);
+            }
+            return;
+        }
+        self.act(place, happening);
+    }
+
+    fn reset(&mut self, place: usize, happening: &Happening) {
+        let (order, shot, proxy, proxy_life, end) = match happening {
+            Happening::Open { order, shot, proxy, proxy_life, .. } => {
+                (*order, *shot, *proxy, *proxy_life, ShotEnd::NotOpened)
+            }
+            Happening::Arrive { order, shot, proxy, proxy_life, .. } => {
+                (*order, *shot, *proxy, *proxy_life, ShotEnd::Lost)
+            }
+            _ => return,
+        };
+        if self.nodes[proxy].life == proxy_life {
+            let ended = Happening::Ended { order, shot, end, answer: None };
+            self.send(place, proxy, ended);
+        }
+    }
+
+    fn act(&mut self, place: usize, happening: Happening) {
+        let local = self.local(place);
+        let Some(mut body) = self.nodes[place].body.take() else {
+            return;
+        };
+        let life = self.nodes[place].life;
+        if matches!(happening, Happening::Tick) {
+            self.push_at(place, TICK, Happening::Tick);
+        }
+        match &mut body {
+            Body::Ledger(machine) => {
+                let input = match happening {
+                    Happening::Tick => Some(LedgerInput::Tick),
+                    Happening::Control { envelope } => {
+                        if let Message::BeatNote { heard, .. } = &envelope.message {
+                            if heard.beat.state == InstanceState::Leaving {
+                                self.observers.heard_leaving(self.now, &heard.beat);
+                            }
+                        }
+                        Some(LedgerInput::Heard { envelope: *envelope })
+                    }
+                    Happening::Synced { ticket, well: true } => {
+                        self.nodes[place].disk.sync(ticket);
+                        Some(LedgerInput::Synced { ticket })
+                    }
+                    Happening::Synced { ticket, well: false } => Some(LedgerInput::WriteFailed { ticket }),
+                    _ => None,
+                };
+                let outputs = input.map(|input| machine.input(local, input)).unwrap_or_default();
+                self.nodes[place].body = Some(body);
+                self.act_ledger(place, outputs);
+            }
+            Body::Mentor(machine) => {
+                let input = match happening {
+                    Happening::Tick => Some(MentorInput::Tick),
+                    Happening::Control { envelope } => Some(MentorInput::Heard { envelope: *envelope }),
+                    Happening::BeatPost { beat, number, instance, instance_life } => {
+                        self.next_ticket += 1;
+                        let ticket = self.next_ticket;
+                        let owed = BeatTicket { instance, instance_life, number };
+                        self.tickets.insert((place, ticket), owed);
+                        Some(MentorInput::Beat { ticket, beat: *beat })
+                    }
+                    _ => None,
+                };
+                let outputs = input.map(|input| machine.input(local, input)).unwrap_or_default();
+                let from = machine.node();
+                self.nodes[place].body = Some(body);
+                for output in outputs {
+                    match output {
+                        MentorOutput::Send { to, message } => self.send_control(place, from, to, message),
+                        MentorOutput::AnswerBeat { ticket, answer } => {
+                            if let Some(owed) = self.tickets.remove(&(place, ticket)) {
+                                if self.nodes[owed.instance].life == owed.instance_life {
+                                    let number = owed.number;
+                                    self.send(place, owed.instance, Happening::BeatAnswered { number, answer });
+                                }
+                            }
+                        }
+                        MentorOutput::Note { .. } => {}
+                    }
+                }
+            }
+            Body::Cuesheet(machine) => {
+                let input = match happening {
+                    Happening::Tick => Some(CuesheetInput::Tick),
+                    Happening::Control { envelope } => Some(CuesheetInput::Heard { envelope: *envelope }),
+                    _ => None,
+                };
+                let outputs = input.map(|input| machine.input(local, input)).unwrap_or_default();
+                let from = machine.node();
+                self.nodes[place].body = Some(body);
+                for output in outputs {
+                    if let CuesheetOutput::Send { to, message } = output {
+                        self.send_control(place, from, to, message);
+                    }
+                }
+            }
+            Body::Proxy(proxy) => {
+                let wishes = match happening {
+                    Happening::Tick => proxy.tick(local),
+                    Happening::Control { envelope } => {
+                        if let Message::View { view } = &envelope.message {
+                            proxy.take_view(view);
+                            let edition = proxy.knowledge.books.book(BookName::Standing).edition;
+                            self.observers.proxy_holds(self.now, place, edition);
+                        }
+                        Vec::new()
+                    }
+                    Happening::CallerOrder { order, group, locality } => {
+                        proxy.receive(local, order, group, locality)
+                    }
+                    Happening::Opened { order, shot } => proxy.opened(local, order, shot),
+                    Happening::Ended { order, shot, end, answer } => {
+                        let (end, load, answered) = match answer {
+                            Some(InstanceAnswer::Ran { order, load }) => (end, Some(load), Some(order)),
+                            Some(InstanceAnswer::NotRun) => (ShotEnd::RefusedByInstance, None, None),
+                            Some(InstanceAnswer::Garbage) => (end, None, Some(order + 1_000_000_000)),
+                            None => (end, None, None),
+                        };
+                        proxy.ended(local, order, shot, end, load, answered)
+                    }
+                    Happening::OrderWake { order, at } => proxy.woken(local, order, at),
+                    _ => Vec::new(),
+                };
+                self.nodes[place].body = Some(body);
+                self.act_proxy(place, life, wishes);
+            }
+            Body::Instance(instance) => {
+                let happenings = self.act_instance(place, life, local, instance, happening);
+                self.nodes[place].body = Some(body);
+                for (to, happening) in happenings {
+                    self.send(place, to, happening);
+                }
+            }
+        }
+    }
+
+    fn send_control(&mut self, place: usize, from: NodeId, to: SocketAddr, message: Message) {
+        let Some(target) = self.by_address.get(&to).copied() else {
+            return;
+        };
+        let envelope = Box::new(Envelope {
+            from,
+            reply_to: self.nodes[place].address,
+            message,
+        });
+        self.send(place, target, Happening::Control { envelope });
+    }
+
+    fn act_ledger(&mut self, place: usize, outputs: Vec<LedgerOutput>) {
+        let from = match &self.nodes[place].body {
+            Some(Body::Ledger(machine)) => machine.node(),
+            _ => return,
+        };
+        for output in outputs {
+            match output {
+                LedgerOutput::Send { to, message } => self.send_control(place, from, to, message),
+                LedgerOutput::Write { ticket, writes } => {
+                    let well = !self.nodes[place].disk.refuses;
+                    if well {
+                        self.nodes[place].disk.unsynced.push_back((ticket, writes));
+                    }
+                    let slow = self.chance.below(50) == 0;
+                    let most = if slow { 60_000 } else { 4_000 };
+                    let after = Duration::from_micros(300 + self.chance.below(most));
+                    self.push_at(place, after, Happening::Synced { ticket, well });
+                }
+                LedgerOutput::Answer { ticket, answer } => {
+                    if let OperatorAnswer::Verdict { verdict } = answer {
+                        if let Some(change) = self.operator_calls.remove(&ticket) {
+                            self.verdict(&change, &verdict);
+                        }
+                    }
+                }
+                LedgerOutput::Note { .. } => {}
+            }
+        }
+    }
+
+    fn verdict(&mut self, change: &Change, verdict: &Verdict) {
+        self.observers.verdict(self.now, change, verdict);
+        match verdict {
+            Verdict::Accepted(edition) | Verdict::Repeat(edition) => {
+                for put in &change.puts {
+                    self.known_editions.insert(put.key.clone(), *edition);
+                }
+            }
+            Verdict::Conflicts(conflicts) => {
+                for conflict in conflicts {
+                    self.known_editions.insert(conflict.key.clone(), conflict.present);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn act_proxy(&mut self, place: usize, life: u64, wishes: Vec<ProxyWish>) {
+        for wish in wishes {
+            match wish {
+                ProxyWish::Pull { message } => {
+                    if let Kind::Proxy { agent, .. } = self.nodes[place].kind {
+                        let to = self.nodes[agent].address;
+                        self.send_control(place, NodeId(place as u64 + 1), to, message);
+                    }
+                }
+                ProxyWish::WakeAt { order, at } => {
+                    let after = self.after_local(place, at);
+                    self.push_at(place, after, Happening::OrderWake { order, at });
+                }
+                ProxyWish::Answer { order, told, answered } => {
+                    self.observers.told(self.now, order.sent_at, order.number, told, answered);
+                }
+                ProxyWish::Open { order, shot, target } => {
+                    if let Some(to) = self.by_address.get(&target.address).copied() {
+                        let open = Happening::Open {
+                            order,
+                            shot,
+                            proxy: place,
+                            proxy_life: life,
+                            incarnation: target.incarnation,
+                        };
+                        self.send(place, to, open);
+                    }
+                }
+                ProxyWish::Shoot { order, shot, target, further } => {
+                    let local = self.local(place);
+                    let Some(Body::Proxy(proxy)) = &self.nodes[place].body else {
+                        continue;
+                    };
+                    let Some(carried) = proxy.carried.get(&order) else {
+                        continue;
+                    };
+                    let (rule, standing) = (carried.rule.clone(), carried.standing);
+                    let need = carried.chart.deadline().saturating_sub(local);
+                    self.observers.shot(self.now, &rule.pool, further);
+                    if let Some(to) = self.by_address.get(&target.address).copied() {
+                        let arrive = Happening::Arrive {
+                            order,
+                            shot,
+                            proxy: place,
+                            proxy_life: life,
+                            target: Box::new(target),
+                            rule: Box::new(rule),
+                            standing,
+                            need,
+                        };
+                        self.send(place, to, arrive);
+                    }
+                }
+            }
+        }
+    }
+
+    fn act_instance(&mut self, place: usize, life: u64, local: Duration, instance: &mut SimInstance, happening: Happening) -> Vec<(usize, Happening)> {
+        let mut sends = Vec::new();
+        match happening {
+            Happening::Tick if local >= instance.next_beat => {
+                instance.next_beat = local + BEAT_PERIOD;
+                let oldest = local.saturating_sub(BEAT_PATIENCE);
+                let before = instance.beat_sent.len();
+                instance.beat_sent.retain(|_, sent| *sent >= oldest);
+                if instance.beat_sent.len() < before {
+                    // Why turn: a beat that nobody answered is taken to another agent.
+                    instance.agent = (instance.agent + 1) % instance.agents.len();
+                }
+                let beat = Box::new(instance.beat(local));
+                let number = beat.counter;
+                instance.beat_sent.insert(number, local);
+                let to = instance.agents[instance.agent];
+                sends.push((to, Happening::BeatPost { beat, number, instance: place, instance_life: life }));
+            }
+            Happening::BeatAnswered { number, answer } => {
+                if let Some(sent) = instance.beat_sent.remove(&number) {
+                    match answer {
+                        Some(answer) => instance.holdings.answered(sent, &answer),
+                        None => instance.agent = (instance.agent + 1) % instance.agents.len(),
+                    }
+                }
+            }
+            Happening::Open { order, shot, proxy, proxy_life, .. } => {
+                if self.nodes[proxy].life == proxy_life {
+                    sends.push((proxy, Happening::Opened { order, shot }));
+                }
+            }
+            Happening::Arrive { order, shot, proxy, proxy_life, target, rule, standing, need } => {
+                let beat = Beat { counter: 0, ..instance.clone_beat(local) };
+                self.note_reached(order, &beat, proxy, &rule, standing);
+                let ours = target.instance == instance.id && target.incarnation == instance.incarnation;
+                let held = target
+                    .slice
+                    .is_none_or(|(slice, epoch)| instance.holdings.may_start(local, slice, epoch, need));
+                if !(ours && held) && !instance.careless {
+                    if self.nodes[proxy].life == proxy_life {
+                        let answer = Some(InstanceAnswer::NotRun);
+                        let end = ShotEnd::RefusedByInstance;
+                        sends.push((proxy, Happening::Ended { order, shot, end, answer }));
+                    }
+                    return sends;
+                }
+                if let Some((slice, _)) = target.slice {
+                    instance.holdings.started(slice);
+                }
+                let work = instance.work.insert(Work {
+                    order,
+                    shot,
+                    proxy,
+                    proxy_life,
+                    slice: target.slice,
+                    pool: rule.pool.clone(),
+                    from: self.now,
+                });
+                let busy = 1 + instance.work.len() as u32 / 8;
+                let span = instance.work_span * busy + Duration::from_micros(self.chance.below(2000));
+                self.push_at(place, span, Happening::WorkDone { work });
+            }
+            Happening::WorkDone { work } => {
+                let Some(done) = instance.work.try_remove(work) else {
+                    return sends;
+                };
+                let still = done.slice.is_none_or(|(slice, epoch)| {
+                    instance.holdings.may_start(local, slice, epoch, Duration::ZERO)
+                });
+                if let Some((slice, _)) = done.slice {
+                    instance.holdings.ended(slice);
+                }
+                let mut answer = Some(InstanceAnswer::NotRun);
+                if still || instance.careless {
+                    self.observers.ran(self.now, done.order, &instance.id);
+                    if let Some((slice, _)) = done.slice {
+                        self.observers.worked_on(&done.pool, slice, done.from, self.now, &instance.id);
+                    }
+                    answer = Some(InstanceAnswer::Ran {
+                        order: done.order,
+                        load: instance.work.len() as u32,
+                    });
+                    if instance.loses_answers > 0 {
+                        instance.loses_answers -= 1;
+                        answer = None;
+                    } else if instance.sends_garbage > 0 {
+                        instance.sends_garbage -= 1;
+                        answer = Some(InstanceAnswer::Garbage);
+                    }
+                }
+                let end = if answer.is_some() { ShotEnd::Answered } else { ShotEnd::Lost };
+                if self.nodes[done.proxy].life == done.proxy_life {
+                    let (order, shot) = (done.order, done.shot);
+                    sends.push((done.proxy, Happening::Ended { order, shot, end, answer }));
+                }
+            }
+            _ => {}
+        }
+        sends
+    }
+
+    fn note_reached(&mut self, order: u64, beat: &Beat, proxy: usize, rule: &Rule, standing: Edition) {
+        let Some(plan) = self.scenario.pools.iter().find(|pool| pool.name == beat.pool.as_str()) else {
+            return;
+        };
+        let pool = Pool {
+            keyed: plan.pool["keyed"].as_bool().unwrap_or(false),
+            slices: 64,
+            instance_cap: 64,
+            key_cap: 8,
+            gentle_per_second: plan.pool["gentle_per_second"].as_u32().unwrap_or(6),
+            warm_span: Duration::from_millis(plan.pool["warm_ms"].as_u64().unwrap_or(5000)),
+        };
+        let nowhere = Region::new("");
+        let proxy_area = self.nodes[proxy].area.clone();
+        // Why the true rule: a broken proxy may have another idea of it.
+        let true_rule = self
+            .scenario
+            .rules
+            .members()
+            .find(|known| known["rule"]["path"].as_str() == Some(&rule.path))
+            .map_or_else(|| rule.clone(), |known| Rule {
+                home: known["rule"]["home"].as_str().map(Region::new),
+                ..rule.clone()
+            });
+        let reached = Reached {
+            order,
+            instance: beat,
+            cold: beat.is_cold(pool.warm_span),
+            pool: &pool,
+            rule: &true_rule,
+            region: self.regions.get(&beat.area).unwrap_or(&nowhere),
+            proxy_area: &proxy_area,
+            proxy_region: self.regions.get(&proxy_area).unwrap_or(&nowhere),
+            standing,
+        };
+        self.observers.reached(self.now, &reached);
+    }
+
+    fn observe(&mut self) {
+        self.push(self.now + OBSERVE_PERIOD, Event::Observe);
+        let mut live: Vec<(&PoolName, &InstanceId, Vec<u32>, Duration)> = Vec::new();
+        for place in 0..self.nodes.len() {
+            if let Some(Body::Instance(instance)) = &self.nodes[place].body {
+                let local = self.local(place);
+                let (slices, longest) = instance.holdings.live(local);
+                if !slices.is_empty() {
+                    live.push((&instance.pool, &instance.id, slices, longest));
+                }
+            }
+        }
+        let now = self.now;
+        self.observers.holdings(now, &live);
+    }
+
+    fn read_back(&mut self) {
+        let mut books = Vec::new();
+        let mut highest = Edition(0);
+        for node in &self.nodes {
+            if let Some(Body::Ledger(machine)) = &node.body {
+                let book = machine.board.book(BookName::Standing).clone();
+                highest = highest.max(book.edition);
+                books.push((node.name.clone(), book));
+            }
+        }
+        for (name, book) in books {
+            // Why only the newest: a ledger that was cut off to the end may be behind, and it
+            // does not answer reads for as long as it is.
+            if book.edition == highest {
+                self.observers.read_back(self.now, &name, &book);
+            }
+        }
+    }
+
+    fn caller(&mut self, kind: usize) {
+        let traffic = self.scenario.traffic[kind].clone();
+        let rate = (traffic.per_second * self.day.percent).max(1);
+        let mean = 100_000_000 / rate;
+        let next = Duration::from_micros(mean / 2 + self.chance.below(mean + 1));
+        if self.now + next < self.day.traffic_until {
+            self.push(self.now + next, Event::Caller { kind });
+        }
+        self.next_order += 1;
+        let number = self.next_order;
+        let group = self.chance.below(12) as u8;
+        let client = IpAddr::from([127, 10, group, 1]);
+        // Why by group: each group of callers sits near one area.
+        let home = Area::new(&self.scenario.areas[usize::from(group) % self.scenario.areas.len()].0);
+        let write = traffic.method != "GET";
+        self.observers.sent(self.now, number, write);
+        let directories: Vec<usize> = (0..self.nodes.len())
+            .filter(|place| matches!(self.nodes[*place].body, Some(Body::Cuesheet(_))))
+            .filter(|place| !self.nodes[*place].frozen)
+            .collect();
+        let mut addresses = Vec::new();
+        if !directories.is_empty() {
+            let pick = directories[self.chance.below(directories.len() as u64) as usize];
+            if let Some(Body::Cuesheet(machine)) = &mut self.nodes[pick].body {
+                if let Ok(found) = machine.find(&traffic.host, &traffic.path, client) {
+                    addresses = found.addresses;
+                }
+            }
+        }
+        let key = (traffic.keys > 0).then(|| format!("key-{}", self.chance.below(traffic.keys)));
+        let order = Order {
+            number,
+            host: traffic.host,
+            path: traffic.path,
+            write,
+            key,
+            sent_at: self.now,
+        };
+        for address in addresses {
+            let Some(place) = self.by_address.get(&address).copied() else {
+                continue;
+            };
+            if self.nodes[place].body.is_some() {
+                let near = self.regions.get(&home) == self.regions.get(&self.nodes[place].area);
+                let distance = if home == self.nodes[place].area {
+                    Duration::from_millis(4)
+                } else if near {
+                    Duration::from_millis(6)
+                } else {
+                    self.scenario.region_distance + Duration::from_millis(4)
+                };
+                let group = group_of(client);
+                let happening = Happening::CallerOrder { order, group, locality: distance };
+                self.push_at(place, distance / 2, happening);
+                return;
+            }
+        }
+    }
+
+    fn operator(&mut self) {
+        let every = self.day.operator_every;
+        let first = self.next_call == 0;
+        let pause = self.chance.between(every / 2, every * 3 / 2);
+        if self.now + pause < self.day.length.saturating_sub(Duration::from_secs(4)) {
+            self.push(self.now + pause, Event::Operator);
+        }
+        if first {
+            let text = self.scenario.standing().dump();
+            if let Ok(change) = ledger::orders::read_change(&text) {
+                self.call_any(change);
+            }
+            return;
+        }
+        let rules: Vec<JsonValue> = self.scenario.rules.members().cloned().collect();
+        let rule = &rules[self.chance.below(rules.len() as u64) as usize];
+        let number = self.next_call;
+        let key = format!("rule/{}", rule["name"].as_str().unwrap_or_default());
+        let expected = self.known_editions.get(&key).copied();
+        let mut put = rule.clone();
+        put["kind"] = "rule".into();
+        put["rule"]["deadline_ms"] = (1500 + self.chance.below(400)).into();
+        if let Some(expected) = expected {
+            put["edition"] = expected.0.into();
+        }
+        let make = |id: String, put: &JsonValue| {
+            ledger::orders::read_change(&jzon::object! { id: id, put: [put.clone()] }.dump())
+        };
+        match self.chance.below(6) {
+            // Two operators at once on the same item, by two ledgers: one of them must lose.
+            0 | 1 => {
+                for side in ["left", "right"] {
+                    if let Ok(change) = make(format!("race-{number}-{side}"), &put) {
+                        self.call_any(change);
+                    }
+                }
+            }
+            // A pool that is not there: nothing of it may take effect.
+            2 => {
+                put["rule"]["pool"] = "nowhere".into();
+                if let Ok(mut change) = make(format!("dangling-{number}"), &put) {
+                    change.puts.push(Put {
+                        key: format!("area/part-{number}"),
+                        expected: None,
+                        value: Some(Value::Area {
+                            area: AreaOrder { region: Region::new("east"), closed: false },
+                        }),
+                    });
+                    self.call_any(change);
+                }
+            }
+            // The same change sent twice, as after a lost answer.
+            3 => {
+                if let Ok(change) = make(format!("again-{number}"), &put) {
+                    self.call_any(change.clone());
+                    self.call_any(change);
+                }
+            }
+            // Many rules at once.
+            4 if self.day.swell > 0 => {
+                let pool = PoolName::new(&self.scenario.pools[0].name);
+                let puts = (0..self.day.swell)
+                    .map(|place| Put {
+                        key: format!("rule/swell-{number}-{place}"),
+                        expected: None,
+                        value: Some(Value::Rule {
+                            rule: Rule {
+                                host: format!("swell-{number}-{place}.example"),
+                                path: "/".to_string(),
+                                pool: pool.clone(),
+                                home: None,
+                                deadline: Duration::from_secs(1),
+                                body_limit: 1000,
+                                key_header: None,
+                            },
+                        }),
+                    })
+                    .collect();
+                let id = ChangeId::new(format!("swell-{number}"));
+                self.call_any(Change { id, puts, guards: Vec::new() });
+            }
+            _ => {
+                if let Ok(change) = make(format!("tweak-{number}"), &put) {
+                    self.call_any(change);
+                }
+            }
+        }
+    }
+
+    /// Hands a change to some live ledger.
+    pub fn call_any(&mut self, change: Change) {
+        let ledgers: Vec<usize> = (0..self.nodes.len())
+            .filter(|place| matches!(self.nodes[*place].body, Some(Body::Ledger(_))))
+            .filter(|place| !self.nodes[*place].frozen)
+            .collect();
+        self.next_call += 1;
+        if ledgers.is_empty() {
+            return;
+        }
+        let place = ledgers[self.chance.below(ledgers.len() as u64) as usize];
+        let ticket = self.next_call;
+        self.observers.proposed(&change);
+        self.operator_calls.insert(ticket, change.clone());
+        let local = self.local(place);
+        let outputs = match &mut self.nodes[place].body {
+            Some(Body::Ledger(machine)) => {
+                let call = OperatorCall::Apply { change };
+                machine.input(local, LedgerInput::Operator { ticket, call })
+            }
+            _ => Vec::new(),
+        };
+        self.act_ledger(place, outputs);
+    }
+
+    /// The places that a fault's target names: a node, a program, an area, or `any-PROGRAM`.
+    pub fn targets(&mut self, name: &str) -> Vec<usize> {
+        if let Some(program) = name.strip_prefix("any-") {
+            let all: Vec<usize> = self.targets(program);
+            let live: Vec<usize> = all
+                .into_iter()
+                .filter(|place| self.nodes[*place].body.is_some())
+                .collect();
+            return match live.len() {
+                0 => Vec::new(),
+                count => vec![live[self.chance.below(count as u64) as usize]],
+            };
+        }
+        (0..self.nodes.len())
+            .filter(|place| {
+                let node = &self.nodes[*place];
+                let program = node.name.split('-').next().unwrap_or_default();
+                node.name == name || program == name || node.area.as_str() == name
+                    || (name == "holder" && self.is_holder(*place))
+            })
+            .collect()
+    }
+
+    fn is_holder(&self, place: usize) -> bool {
+        match &self.nodes[place].body {
+            Some(Body::Ledger(machine)) => {
+                let cohort = machine.board.book(BookName::Cohort);
+                cohort.duty(TENURE).is_some_and(|term| term.holder == machine.node())
+            }
+            _ => false,
+        }
+    }
+
+    pub fn fault(&mut self, fault: &Harm) {
+        if fault.big {
+            self.observers.big_fault(self.now);
+        }
+        let places = self.targets(&fault.target);
+        match &fault.act {
+            Act::Kill => places.iter().for_each(|place| self.end(*place, false)),
+            Act::PowerOff => places.iter().for_each(|place| self.end(*place, true)),
+            Act::Start => places.iter().for_each(|place| self.start(*place)),
+            Act::Replace => {
+                for place in places {
+                    self.end(place, true);
+                    self.nodes[place].disk = SimDisk::default();
+                }
+            }
+            Act::Move => {
+                for place in places {
+                    self.move_away(place);
+                }
+            }
+            Act::Freeze => {
+                for place in places {
+                    self.nodes[place].frozen = self.nodes[place].body.is_some();
+                }
+            }
+            Act::Wake => {
+                for place in places {
+                    self.nodes[place].frozen = false;
+                    for happening in std::mem::take(&mut self.nodes[place].backlog) {
+                        self.act(place, happening);
+                    }
+                }
+            }
+            Act::Leave => {
+                for place in places {
+                    if let Some(Body::Instance(instance)) = &mut self.nodes[place].body {
+                        instance.leaving = true;
+                        instance.next_beat = Duration::ZERO;
+                    }
+                }
+            }
+            Act::LoseAnswers(count) => {
+                for place in places {
+                    if let Some(Body::Instance(instance)) = &mut self.nodes[place].body {
+                        instance.loses_answers = *count;
+                    }
+                }
+            }
+            Act::SendGarbage(count) => {
+                for place in places {
+                    if let Some(Body::Instance(instance)) = &mut self.nodes[place].body {
+                        instance.sends_garbage = *count;
+                    }
+                }
+            }
+            Act::RefuseDisk => places.iter().for_each(|place| self.nodes[*place].disk.refuses = true),
+            Act::MendDisk => places.iter().for_each(|place| self.nodes[*place].disk.refuses = false),
+            Act::CutOff { one_way } => {
+                let inside: BTreeSet<usize> = places.into_iter().collect();
+                let outside: BTreeSet<usize> =
+                    (0..self.nodes.len()).filter(|place| !inside.contains(place)).collect();
+                self.network.cuts.push(Cut { from: inside.clone(), to: outside.clone() });
+                if !one_way {
+                    self.network.cuts.push(Cut { from: outside, to: inside });
+                }
+            }
+            Act::Join => self.network.cuts.clear(),
+            Act::CloseArea => self.turn_area(&fault.target, true),
+            Act::OpenArea => {
+                self.observers.opening(&Area::new(&fault.target));
+                self.turn_area(&fault.target, false);
+            }
+        }
+    }
+
+    /// Replaces a machine for good by an empty one at a new address, in the same area.
+    fn move_away(&mut self, place: usize) {
+        self.end(place, true);
+        self.nodes[place].left_for_good = true;
+        let (name, area, kind) = {
+            let node = &self.nodes[place];
+            (node.name.clone(), node.area.clone(), node.kind.clone())
+        };
+        let next = self.add(format!("{name}-new"), area.as_str(), kind);
+        self.start(next);
+    }
+
+    fn turn_area(&mut self, name: &str, closed: bool) {
+        let Some(region) = self.regions.get(&Area::new(name)).cloned() else {
+            return;
+        };
+        let number = self.next_call;
+        let change = Change {
+            id: ChangeId::new(format!("turn-{name}-{closed}-{number}")),
+            puts: vec![Put {
+                key: format!("area/{name}"),
+                expected: None,
+                value: Some(Value::Area { area: AreaOrder { region, closed } }),
+            }],
+            guards: Vec::new(),
+        };
+        self.call_any(change);
+    }
+}
+
+impl SimInstance {
+    /// What a beat would say now, without sending one.
+    fn clone_beat(&self, now: Duration) -> Beat {
+        Beat {
+            id: self.id.clone(),
+            incarnation: self.incarnation,
+            counter: self.counter,
+            pool: self.pool.clone(),
+            area: self.area.clone(),
+            address: self.address,
+            capacity: self.capacity,
+            state: InstanceState::Serving,
+            load: 0,
+            up: now,
+            holding: Vec::new(),
+        }
+    }
+}
--- a/crates/toolroom/src/lib.rs
+++ b/crates/toolroom/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod http;
 pub mod options;
 pub mod prelude;
+pub mod scenario;
--- a/crates/toolroom/src/prelude.rs
+++ b/crates/toolroom/src/prelude.rs
@@ -28,6 +28,7 @@
 pub use crate::events::*;
 pub use crate::http::*;
 pub use crate::options::*;
+pub use crate::scenario::*;
 
 /// Takes a lock whose holder cannot have left things half done.
 ///
--- a/crates/workshop/src/scenario.rs
+++ b/crates/toolroom/src/scenario.rs
@@ -11,6 +11,17 @@
     pub pool: JsonValue,
 }
 
+/// One kind of order that callers send.
+#[derive(Debug, Clone)]
+pub struct Traffic {
+    pub host: String,
+    pub path: String,
+    pub method: Method,
+    pub per_second: u64,
+    pub body_bytes: usize,
+    pub keys: u64,
+}
+
 #[derive(Debug, Clone)]
 pub struct Scenario {
     pub file: PathBuf,
@@ -22,6 +33,9 @@
     pub directories: Vec<String>,
     pub pools: Vec<PoolPlan>,
     pub rules: JsonValue,
+    pub traffic: Vec<Traffic>,
+    /// How far the regions lie apart, there and back.
+    pub region_distance: Duration,
 }
 
 impl Scenario {
@@ -46,6 +60,7 @@
             "pools",
             "rules",
             "traffic",
+            "region_distance_ms",
         ];
         for (name, _) in value.entries() {
             if !known.contains(&name) {
@@ -100,10 +115,35 @@
         if value["rules"].is_empty() || !value["rules"].is_array() {
             fault("rules".to_string(), "list at least one rule");
         }
+        let mut traffic = Vec::new();
+        for (place, item) in value["traffic"].members().enumerate() {
+            let method = item["method"].as_str().and_then(|text| text.parse().ok());
+            match (item["host"].as_str(), item["path"].as_str(), method, item["per_second"].as_u64()) {
+                (Some(host), Some(path), Some(method), Some(per_second)) => traffic.push(Traffic {
+                    host: host.to_string(),
+                    path: path.to_string(),
+                    method,
+                    per_second,
+                    body_bytes: item["body_bytes"].as_usize().unwrap_or(0),
+                    keys: item["keys"].as_u64().unwrap_or(0),
+                }),
+                _ => fault(
+                    format!("traffic[{place}]"),
+                    "give host, path, method and per_second",
+                ),
+            }
+        }
+        if traffic.is_empty() {
+            fault("traffic".to_string(), "list at least one kind of order");
+        }
         if !faults.is_empty() {
             return Err(faults);
         }
         Ok(Self {
+            traffic,
+            region_distance: Duration::from_millis(
+                value["region_distance_ms"].as_u64().unwrap_or(20),
+            ),
             file: path.to_path_buf(),
             name: value["name"].as_str().unwrap_or("fleet").to_string(),
             areas,
--- a/crates/workshop/src/main.rs
+++ b/crates/workshop/src/main.rs
@@ -2,7 +2,6 @@
 
 mod fleet;
 mod prelude;
-mod scenario;
 
 use crate::prelude::*;
 
@@ -308,8 +307,10 @@
         }
         Command::Start { names } => {
             for place in named_or_end(&fleet, names) {
+                let lived = fleet.hands[place].lives();
                 fleet.start(place)?;
-                println!("{} started", fleet.hands[place].name);
+                let word = if lived { "lives" } else { "started" };
+                println!("{} {word}", fleet.hands[place].name);
             }
             fleet.save()?;
         }
--- a/crates/workshop/src/prelude.rs
+++ b/crates/workshop/src/prelude.rs
@@ -3,4 +3,3 @@
 pub use toolroom::prelude::*;
 
 pub use crate::fleet::*;
-pub use crate::scenario::*;
