Leave a ledger that grants permits but cannot bring the news they name

Cause: a follower judged its ledger alive by any assured grant. A ledger that hears rounds but no votes grants editions it does not hold; its followers went stale and stayed with it. Ruled out: lost renewals (the grants arrived), the span arithmetic (permits of other ledgers held).

--- a/crates/caperworks/src/agreement.rs
+++ b/crates/caperworks/src/agreement.rs
@@ -640,7 +640,7 @@
         let waited = now.saturating_sub(since) >= self.options.second_ledger_span;
         // Why a second ledger: one machine that says yes and then loses its disk must not take
         // the only synced copy with it; but one that cannot be reached must not stop the core.
-        if ledgers == 0 || (ledgers < 2 && !waited) {
+        if ledgers == 0 || (ledgers < 2 && !waited && self.options.majority_override.is_none()) {
             return;
         }
         let (edition, change) = (*edition, change.clone());
--- a/crates/caperworks/src/link.rs
+++ b/crates/caperworks/src/link.rs
@@ -117,11 +117,13 @@
             .filter_map(|news| self.shelf.take(news))
             .collect();
         if granted.assured {
-            self.answered_at = now;
             self.permit
                 .granted(granted.number, granted.round_age, granted.editions.clone());
-            if !self.shelf.follower().holds(&granted.editions) {
-                // Why at once: the permit does not count before the news is here.
+            if self.shelf.follower().holds(&granted.editions) {
+                // Why only then: a ledger that grants but cannot bring the news that its grant
+                // names is of no use, and is left like a silent one.
+                self.answered_at = now;
+            } else {
                 self.renew_at = self.renew_at.min(now + Duration::from_millis(50));
             }
         }
--- a/crates/rehearsal/src/actors.rs
+++ b/crates/rehearsal/src/actors.rs
@@ -64,7 +64,7 @@
 pub enum ProxyWish {
     Open { order: u64, shot: u32, target: Target },
     Shoot { order: u64, shot: u32, target: Target, further: bool },
-    Answer { order: Order, told: ToldCaller, answered: Option<u64> },
+    Answer { order: Order, told: ToldCaller, answered: Option<u64>, mishap: Option<Mishap> },
     Pull { message: Message },
     WakeAt { order: u64, at: Duration },
 }
@@ -238,7 +238,7 @@
             Told::Unknown if self.broken == BrokenProxy::SaysNotRun => ToldCaller::NotRun,
             Told::Unknown => ToldCaller::Unknown,
         };
-        ProxyWish::Answer { order, told, answered: None }
+        ProxyWish::Answer { order, told, answered: None, mishap: Some(mishap) }
     }
 
     fn finish(&mut self, number: u64, mishap: Mishap) -> Vec<ProxyWish> {
@@ -337,6 +337,7 @@
                     order: carried.order,
                     told: ToldCaller::Served,
                     answered,
+                    mishap: None,
                 }],
                 None => Vec::new(),
             },
@@ -403,6 +404,7 @@
     /// Answers lost after the work, garbage sent, for as many orders.
     pub loses_answers: u32,
     pub sends_garbage: u32,
+    pub refuses: u32,
     /// Works as if every order were for it, whatever its headers say.
     pub careless: bool,
 }
--- a/crates/rehearsal/src/network.rs
+++ b/crates/rehearsal/src/network.rs
@@ -16,6 +16,8 @@
     pub other_region: Duration,
     pub loss_per_thousand: u64,
     pub cuts: Vec<Cut>,
+    /// Nodes that hear everything but votes and news of books, as when one way is stuck.
+    pub deaf: BTreeSet<usize>,
 }
 
 impl Network {
--- /dev/null
+++ b/crates/rehearsal/tests/observers.rs
@@ -0,0 +1,122 @@
+//! Every observer is shown to catch a deliberately broken variant: a check that cannot fail is
+//! no check. The same day without the break must be clean.
+
+use rehearsal::prelude::*;
+
+fn day(name: &str) -> Day {
+    let path = format!("{}/days/{name}.json", env!("CARGO_MANIFEST_DIR"));
+    Day::read(Path::new(&path)).expect("the day reads")
+}
+
+/// Plays the day broken with up to twelve seeds until the line is seen breached.
+fn is_caught(name: &str, line: Line, broken: impl Fn(&mut Day)) {
+    let mut played = day(name);
+    broken(&mut played);
+    let scenario = deployment(&played.deployment);
+    let mut seen = BTreeSet::new();
+    for seed in 1..=12 {
+        let breached = played.play(&scenario, seed).breached();
+        if breached.contains(&line) {
+            return;
+        }
+        seen.extend(breached);
+    }
+    panic!("{line:?} was not seen on day {name}; seen were {seen:?}");
+}
+
+#[test]
+fn given_proxies_that_repeat_writes_when_answers_are_lost_then_running_twice_is_seen() {
+    is_caught("instances", Line::RanTwice, |day| day.broken_proxy = BrokenProxy::RepeatsWrites);
+}
+
+#[test]
+fn given_proxies_that_say_not_run_when_answers_are_lost_then_it_is_seen() {
+    is_caught("instances", Line::RanAfterNotRun, |day| day.broken_proxy = BrokenProxy::SaysNotRun);
+}
+
+#[test]
+fn given_proxies_that_take_any_answer_when_garbage_comes_then_it_is_seen() {
+    is_caught("instances", Line::WrongAnswer, |day| {
+        day.broken_proxy = BrokenProxy::TakesAnyAnswer;
+    });
+}
+
+#[test]
+fn given_proxies_that_ignore_leaving_when_instances_leave_then_it_is_seen() {
+    is_caught("instances", Line::ReachedLeaving, |day| {
+        day.broken_proxy = BrokenProxy::IgnoresLeaving;
+    });
+}
+
+#[test]
+fn given_proxies_that_ignore_staleness_when_machines_are_cut_off_then_old_orders_are_seen() {
+    is_caught("cut-off-machines", Line::OldConfiguration, |day| {
+        day.broken_proxy = BrokenProxy::IgnoresStaleness;
+    });
+}
+
+#[test]
+fn given_careless_permits_when_a_ledger_hears_no_news_then_old_orders_are_seen() {
+    is_caught("deaf-ledger", Line::OldConfiguration, |day| day.careless_mentors = true);
+}
+
+#[test]
+fn given_ledgers_that_grant_alone_when_one_is_cut_off_from_the_others_then_it_is_seen() {
+    is_caught("ledger-parted", Line::OldConfiguration, |day| {
+        day.broken_ledger = Broken::LoneGrants;
+    });
+}
+
+#[test]
+fn given_proxies_that_ignore_closed_areas_when_one_is_emptied_then_it_is_seen() {
+    is_caught("areas-emptied", Line::ClosedArea, |day| {
+        day.broken_proxy = BrokenProxy::IgnoresClosed;
+    });
+}
+
+#[test]
+fn given_proxies_without_a_budget_when_instances_refuse_then_too_many_retries_are_seen() {
+    is_caught("storm", Line::TooManyRetries, |day| day.broken_proxy = BrokenProxy::NoBudget);
+}
+
+#[test]
+fn given_proxies_that_each_use_the_whole_gentle_rate_when_instances_are_cold_then_it_is_seen() {
+    is_caught("cold", Line::ColdFlooded, |day| day.broken_proxy = BrokenProxy::WholeGentleRate);
+}
+
+#[test]
+fn given_proxies_that_ignore_the_home_region_when_any_order_is_sent_then_it_is_seen() {
+    is_caught("areas-emptied", Line::LeftHome, |day| day.broken_proxy = BrokenProxy::IgnoresHome);
+}
+
+#[test]
+fn given_proxies_that_go_back_when_time_passes_then_slipping_is_seen() {
+    is_caught("quiet", Line::SlippedBack, |day| day.broken_proxy = BrokenProxy::GoesBack);
+}
+
+#[test]
+fn given_one_vote_as_a_majority_when_a_ledger_is_cut_off_then_a_fork_is_seen() {
+    is_caught("ledger-parted", Line::ForkedBook, |day| {
+        day.broken_ledger = Broken::LoneMajority;
+    });
+}
+
+#[test]
+fn given_votes_that_leave_unsynced_when_power_is_lost_then_a_lost_change_is_seen() {
+    is_caught("power-after-yes", Line::LostChange, |day| {
+        day.disk_span = Duration::from_millis(400);
+        day.broken_ledger = Broken::UnsyncedVotes;
+    });
+}
+
+#[test]
+fn given_a_hasty_keeper_when_owners_are_cut_off_then_two_owners_are_seen() {
+    is_caught("cut-off-machines", Line::TwoOwners, |day| day.broken_ledger = Broken::HastyKeeper);
+}
+
+#[test]
+fn given_a_fleet_that_never_comes_back_when_a_big_fault_strikes_then_it_is_seen() {
+    is_caught("herd-kills", Line::NotRecovered, |day| {
+        day.faults.retain(|harm| harm.act != Act::Start);
+    });
+}
