--- a/crates/caller/src/main.rs
+++ b/crates/caller/src/main.rs
@@ -3,7 +3,8 @@
 use std::io::Write;
 use toolroom::prelude::*;
 
-const HELP: &str = "Stand-in callers: asks the directory where to go, sends the scenario's traffic, \
+const HELP: &str =
+    "Stand-in callers: asks the directory where to go, sends the scenario's traffic, \
 checks every answer, and prints what came of it as JSON";
 
 #[derive(Debug, Clone)]
@@ -43,9 +44,16 @@
         .help("File to record every write and what was told of it")
         .argument::<PathBuf>("FILE")
         .optional();
-    construct!(Flags { directories, scenario, seconds, percent, groups, record })
-        .to_options()
-        .descr(HELP)
+    construct!(Flags {
+        directories,
+        scenario,
+        seconds,
+        percent,
+        groups,
+        record
+    })
+    .to_options()
+    .descr(HELP)
 }
 
 /// What came of the orders of one kind.
@@ -61,6 +69,9 @@
     slowest_ms: u64,
 }
 
+/// A directory's answer, and until when it is good.
+type Known = (Duration, Vec<SocketAddr>);
+
 struct Callers {
     flags: Flags,
     traffic: Vec<Traffic>,
@@ -69,7 +80,7 @@
     run: u64,
     numbers: AtomicU64,
     counts: Vec<Mutex<Count>>,
-    known: Mutex<HashMap<(String, u8), (Duration, Vec<SocketAddr>)>>,
+    known: Mutex<HashMap<(String, u8), Known>>,
     record: Option<Mutex<std::fs::File>>,
 }
 
@@ -220,12 +231,18 @@
     let record = match &flags.record {
         None => None,
         Some(path) => Some(Mutex::new(
-            std::fs::OpenOptions::new().create(true).append(true).open(path)?,
+            std::fs::OpenOptions::new()
+                .create(true)
+                .append(true)
+                .open(path)?,
         )),
     };
     let callers = Arc::new(Callers {
         counts: traffic.iter().map(|_| Mutex::default()).collect(),
-        bodies: traffic.iter().map(|kind| Bytes::from(vec![b'c'; kind.body_bytes])).collect(),
+        bodies: traffic
+            .iter()
+            .map(|kind| Bytes::from(vec![b'c'; kind.body_bytes]))
+            .collect(),
         traffic,
         clock: Clock::start(),
         run: fresh_seed() >> 32,
--- a/crates/caperworks/src/agreement.rs
+++ b/crates/caperworks/src/agreement.rs
@@ -135,20 +135,32 @@
     /// Plays a record of the log again after a restart.
     pub fn replay(&mut self, record: Record) {
         match record {
-            Record::Promised { book, edition, ballot } => {
+            Record::Promised {
+                book,
+                edition,
+                ballot,
+            } => {
                 let copy = &mut self.copies[book.index()];
                 if copy.book.edition.next() == edition {
                     copy.promised = copy.promised.max(ballot);
                 }
             }
-            Record::Took { book, edition, taken } => {
+            Record::Took {
+                book,
+                edition,
+                taken,
+            } => {
                 let copy = &mut self.copies[book.index()];
                 if copy.book.edition.next() == edition {
                     copy.promised = copy.promised.max(taken.ballot);
                     copy.taken = Some(taken);
                 }
             }
-            Record::Chose { book, edition, change } => {
+            Record::Chose {
+                book,
+                edition,
+                change,
+            } => {
                 if self.book(book).edition.next() == edition {
                     self.advance(book, change);
                 }
@@ -187,7 +199,10 @@
                 .filter(|numbered| numbered.edition > after)
                 .cloned()
                 .collect();
-            Vote::News { book: name, changes }
+            Vote::News {
+                book: name,
+                changes,
+            }
         } else {
             Vote::Whole {
                 book: name,
@@ -204,12 +219,21 @@
     pub fn hear(&mut self, vote: Vote) -> SeatOutcome {
         let mut outcome = SeatOutcome::default();
         match vote {
-            Vote::Ask { book, cohort, edition, ballot } => {
+            Vote::Ask {
+                book,
+                cohort,
+                edition,
+                ballot,
+            } => {
                 let fits = self.cohort_fits(cohort);
                 let copy = &mut self.copies[book.index()];
                 if fits && edition == copy.book.edition.next() && ballot >= copy.promised {
                     copy.promised = ballot;
-                    outcome.records.push(Record::Promised { book, edition, ballot });
+                    outcome.records.push(Record::Promised {
+                        book,
+                        edition,
+                        ballot,
+                    });
                     outcome.replies.push(Vote::Promise {
                         book,
                         edition,
@@ -220,20 +244,38 @@
                     self.deny(&mut outcome, book, edition, ballot, fits);
                 }
             }
-            Vote::Offer { book, cohort, edition, ballot, change } => {
+            Vote::Offer {
+                book,
+                cohort,
+                edition,
+                ballot,
+                change,
+            } => {
                 let fits = self.cohort_fits(cohort);
                 let copy = &mut self.copies[book.index()];
                 if fits && edition == copy.book.edition.next() && ballot >= copy.promised {
                     copy.promised = ballot;
                     let taken = Taken { ballot, change };
                     copy.taken = Some(taken.clone());
-                    outcome.records.push(Record::Took { book, edition, taken });
-                    outcome.replies.push(Vote::Took { book, edition, ballot });
+                    outcome.records.push(Record::Took {
+                        book,
+                        edition,
+                        taken,
+                    });
+                    outcome.replies.push(Vote::Took {
+                        book,
+                        edition,
+                        ballot,
+                    });
                 } else {
                     self.deny(&mut outcome, book, edition, ballot, fits);
                 }
             }
-            Vote::Chosen { book, edition, change } => {
+            Vote::Chosen {
+                book,
+                edition,
+                change,
+            } => {
                 if self.book(book).edition.next() == edition {
                     outcome.records.push(Record::Chose {
                         book,
@@ -300,7 +342,9 @@
             outcome.replies.extend(self.news_after(book, after));
         }
         if !cohort_fits {
-            outcome.replies.extend(self.news_after(BookName::Cohort, Edition(0)));
+            outcome
+                .replies
+                .extend(self.news_after(BookName::Cohort, Edition(0)));
         }
     }
 }
@@ -454,8 +498,8 @@
         if stuck {
             self.phase = Phase::Resting;
             // Why by chance: two proposers that keep in step would outbid each other for ever.
-            self.rest_until = now
-                + chance.between(Duration::from_millis(1), Duration::from_millis(80));
+            self.rest_until =
+                now + chance.between(Duration::from_millis(1), Duration::from_millis(80));
         }
         self.settle_offer(now, seat, &mut outcome);
         self.begin(now, seat, &mut outcome);
@@ -536,8 +580,18 @@
         }
         match (vote, &mut self.phase) {
             (
-                Vote::Promise { edition, ballot, taken, .. },
-                Phase::Asking { edition: asked, ballot: own, promises, .. },
+                Vote::Promise {
+                    edition,
+                    ballot,
+                    taken,
+                    ..
+                },
+                Phase::Asking {
+                    edition: asked,
+                    ballot: own,
+                    promises,
+                    ..
+                },
             ) if edition == asked && ballot == own => {
                 promises.insert(from, taken.clone());
                 let enough = self.options.majority_override.unwrap_or(seats.majority());
@@ -546,13 +600,29 @@
                 }
             }
             (
-                Vote::Took { edition, ballot, .. },
-                Phase::Offering { edition: offered, ballot: own, took, .. },
+                Vote::Took {
+                    edition, ballot, ..
+                },
+                Phase::Offering {
+                    edition: offered,
+                    ballot: own,
+                    took,
+                    ..
+                },
             ) if edition == offered && ballot == own => {
                 took.insert(from);
                 self.settle_offer(now, seat, &mut outcome);
             }
-            (Vote::Deny { ballot, promised, holds, edition, .. }, phase) => {
+            (
+                Vote::Deny {
+                    ballot,
+                    promised,
+                    holds,
+                    edition,
+                    ..
+                },
+                phase,
+            ) => {
                 let own = match phase {
                     Phase::Asking { ballot, .. } | Phase::Offering { ballot, .. } => Some(*ballot),
                     Phase::Resting => None,
@@ -577,7 +647,13 @@
     }
 
     fn offer(&mut self, now: Duration, seat: &Seat, outcome: &mut ProposerOutcome) {
-        let Phase::Asking { edition, ballot, promises, .. } = &self.phase else {
+        let Phase::Asking {
+            edition,
+            ballot,
+            promises,
+            ..
+        } = &self.phase
+        else {
             return;
         };
         let (edition, ballot) = (*edition, *ballot);
@@ -622,7 +698,14 @@
     }
 
     fn settle_offer(&mut self, now: Duration, seat: &Seat, outcome: &mut ProposerOutcome) {
-        let Phase::Offering { edition, change, took, majority_since, .. } = &mut self.phase else {
+        let Phase::Offering {
+            edition,
+            change,
+            took,
+            majority_since,
+            ..
+        } = &mut self.phase
+        else {
             return;
         };
         let Some(seats) = seat.book(BookName::Cohort).seats() else {
@@ -646,9 +729,15 @@
         let (edition, change) = (*edition, change.clone());
         self.phase = Phase::Resting;
         self.rest_until = Duration::ZERO;
-        if self.pending.front().is_some_and(|first| first.change.id == change.id) {
+        if self
+            .pending
+            .front()
+            .is_some_and(|first| first.change.id == change.id)
+        {
             if let Some(proposal) = self.pending.pop_front() {
-                outcome.verdicts.push((proposal.ticket, Verdict::Accepted(edition)));
+                outcome
+                    .verdicts
+                    .push((proposal.ticket, Verdict::Accepted(edition)));
             }
         }
         outcome.to_seats.push(Vote::Chosen {
--- a/crates/caperworks/src/books.rs
+++ b/crates/caperworks/src/books.rs
@@ -215,22 +215,27 @@
     }
 
     pub fn present(&self, key: &str) -> Edition {
-        self.items
-            .get(key)
-            .map_or(Edition(0), |item| item.edition)
+        self.items.get(key).map_or(Edition(0), |item| item.edition)
     }
 
     pub fn weigh(&self, change: &Change) -> Standpoint {
         // Why first: a caller that lost our answer repeats the change, and its own first success
         // must not read as a conflict with itself.
-        if let Some(answered) = self.answered.iter().find(|answered| answered.id == change.id) {
+        if let Some(answered) = self
+            .answered
+            .iter()
+            .find(|answered| answered.id == change.id)
+        {
             return if answered.digest == change.digest() {
                 Standpoint::Repeat(answered.edition)
             } else {
                 Standpoint::IdTaken(answered.edition)
             };
         }
-        let guards = change.guards.iter().map(|guard| (&guard.key, guard.expected));
+        let guards = change
+            .guards
+            .iter()
+            .map(|guard| (&guard.key, guard.expected));
         let conflicts: Vec<Conflict> = change
             .puts
             .iter()
@@ -316,30 +321,30 @@
     }
 
     pub fn rules(&self) -> impl Iterator<Item = (RuleName, &Rule)> {
-        self.items
-            .iter()
-            .filter_map(|(key, item)| match (key.strip_prefix("rule/"), &item.value) {
+        self.items.iter().filter_map(
+            |(key, item)| match (key.strip_prefix("rule/"), &item.value) {
                 (Some(name), Value::Rule { rule }) => Some((RuleName::new(name), rule)),
                 _ => None,
-            })
+            },
+        )
     }
 
     pub fn pools(&self) -> impl Iterator<Item = (PoolName, &Pool)> {
-        self.items
-            .iter()
-            .filter_map(|(key, item)| match (key.strip_prefix("pool/"), &item.value) {
+        self.items.iter().filter_map(
+            |(key, item)| match (key.strip_prefix("pool/"), &item.value) {
                 (Some(name), Value::Pool { pool }) => Some((PoolName::new(name), pool)),
                 _ => None,
-            })
+            },
+        )
     }
 
     pub fn areas(&self) -> impl Iterator<Item = (Area, &AreaOrder)> {
-        self.items
-            .iter()
-            .filter_map(|(key, item)| match (key.strip_prefix("area/"), &item.value) {
+        self.items.iter().filter_map(
+            |(key, item)| match (key.strip_prefix("area/"), &item.value) {
                 (Some(name), Value::Area { area }) => Some((Area::new(name), area)),
                 _ => None,
-            })
+            },
+        )
     }
 }
 
--- a/crates/caperworks/src/dispatch.rs
+++ b/crates/caperworks/src/dispatch.rs
@@ -379,12 +379,29 @@
     }
 
     pub fn pool(&self, name: &PoolName) -> Option<&Pool> {
-        match &self.books.book(BookName::Standing).items.get(&format!("pool/{name}"))?.value {
+        match &self
+            .books
+            .book(BookName::Standing)
+            .items
+            .get(&format!("pool/{name}"))?
+            .value
+        {
             Value::Pool { pool } => Some(pool),
             _ => None,
         }
     }
 
+    /// The rule for a host and path.
+    pub fn find(&self, now: Duration, host: &str, path: &str) -> Result<(RuleName, Rule), Mishap> {
+        // Why not "no rule" when stale: a rule may have come that we have not heard of.
+        let otherwise = if now >= self.fresh_until {
+            Mishap::Stale
+        } else {
+            Mishap::NoRule
+        };
+        self.table.find(host, path).cloned().ok_or(otherwise)
+    }
+
     /// Whether this proxy may carry anything for the rule now.
     pub fn admits(&self, now: Duration, own_area: &Area, rule: &Rule) -> Result<(), Mishap> {
         if now >= self.fresh_until {
@@ -519,7 +536,10 @@
             return self.choose_owner(now, knowledge, rule, pool, key);
         }
         let own_region = knowledge.regions.get(own_area);
-        let ids = knowledge.by_pool.get(&rule.pool).ok_or(Mishap::NoInstance)?;
+        let ids = knowledge
+            .by_pool
+            .get(&rule.pool)
+            .ok_or(Mishap::NoInstance)?;
         let mut tiers: [Vec<&Beat>; 3] = [Vec::new(), Vec::new(), Vec::new()];
         let mut ejected = 0;
         for beat in ids.iter().filter_map(|id| knowledge.instances.get(id)) {
--- a/crates/caperworks/src/duty.rs
+++ b/crates/caperworks/src/duty.rs
@@ -52,8 +52,7 @@
     holder: Option<NodeId>,
 ) -> Option<NodeId> {
     let holder_lives = holder.is_some_and(|holder| {
-        liveness.alive(now, holder)
-            && seats.holder(holder).is_some_and(|seat| seat.ledger)
+        liveness.alive(now, holder) && seats.holder(holder).is_some_and(|seat| seat.ledger)
     });
     seats
         .holders
@@ -84,9 +83,15 @@
 pub enum DutyStep {
     Rest,
     /// Write this term, if the item still has the expected edition.
-    Take { term: DutyTerm, expected: Edition },
+    Take {
+        term: DutyTerm,
+        expected: Edition,
+    },
     /// The duty is ours under this epoch, and for how long it has been.
-    Hold { epoch: Epoch, held: Duration },
+    Hold {
+        epoch: Epoch,
+        held: Duration,
+    },
 }
 
 impl DutyWatch {
--- a/crates/caperworks/src/facts.rs
+++ b/crates/caperworks/src/facts.rs
@@ -103,11 +103,9 @@
         // Why the other leaves: an address has one instance at a time, and the one that was
         // heard of last in a new life is the one that answers there now.
         let address = heard.beat.address;
-        let newcomer = self
-            .known
-            .get(&heard.beat.id)
-            .is_none_or(|kept| kept.fact.incarnation != heard.beat.incarnation
-                || kept.fact.address != address);
+        let newcomer = self.known.get(&heard.beat.id).is_none_or(|kept| {
+            kept.fact.incarnation != heard.beat.incarnation || kept.fact.address != address
+        });
         if newcomer {
             self.known
                 .retain(|id, kept| *id == heard.beat.id || kept.fact.address != address);
--- a/crates/caperworks/src/feed.rs
+++ b/crates/caperworks/src/feed.rs
@@ -36,7 +36,10 @@
     /// Takes news in; says whether the book moved on.
     pub fn take(&mut self, news: &Vote) -> Option<BookName> {
         match news {
-            Vote::News { book: name, changes } => {
+            Vote::News {
+                book: name,
+                changes,
+            } => {
                 let book = &mut self.books[name.index()];
                 let before = book.edition;
                 for numbered in changes {
@@ -83,7 +86,12 @@
         let history = self.histories.entry(moved).or_default();
         match news {
             Vote::News { changes, .. } => {
-                history.extend(changes.iter().filter(|change| change.edition > before).cloned());
+                history.extend(
+                    changes
+                        .iter()
+                        .filter(|change| change.edition > before)
+                        .cloned(),
+                );
                 while history.len() > HISTORY {
                     history.pop_front();
                 }
--- a/crates/caperworks/src/link.rs
+++ b/crates/caperworks/src/link.rs
@@ -119,7 +119,7 @@
         if granted.assured {
             self.permit
                 .granted(granted.number, granted.round_age, granted.editions.clone());
-            if self.shelf.follower().holds(&granted.editions) {
+            if self.permit.careless || self.shelf.follower().holds(&granted.editions) {
                 // Why only then: a ledger that grants but cannot bring the news that its grant
                 // names is of no use, and is left like a silent one.
                 self.answered_at = now;
--- a/crates/caperworks/src/placement.rs
+++ b/crates/caperworks/src/placement.rs
@@ -56,7 +56,7 @@
 /// One accepted block on a site's heap; the heap's top is the block that loses least.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Block {
-    loss: std::cmp::Reverse<u32>,
+    loss: Reverse<u32>,
     group: usize,
     position: usize,
     units: u32,
@@ -88,7 +88,9 @@
         .collect();
     list.sort();
     list.truncate(LIST_LENGTH);
-    list.into_iter().map(|(far, _, index)| (index, far)).collect()
+    list.into_iter()
+        .map(|(far, _, index)| (index, far))
+        .collect()
 }
 
 /// What a unit of the group at this place of its list loses by being rejected there.
@@ -140,7 +142,7 @@
         let site = group.list[position].0;
         proposals += 1;
         heaps[site].push(Block {
-            loss: std::cmp::Reverse(loss(group, position)),
+            loss: Reverse(loss(group, position)),
             group: index,
             position,
             units,
@@ -272,7 +274,11 @@
 
     fn take_in(&mut self, now: Duration, view: &ProblemView<'_>) {
         let mut sums: BTreeMap<(String, RuleName), (u32, BTreeMap<Area, u32>)> = BTreeMap::new();
-        for proxy in view.members.iter().filter(|member| member.role == Role::Proxy) {
+        for proxy in view
+            .members
+            .iter()
+            .filter(|member| member.role == Role::Proxy)
+        {
             for demand in &proxy.demand {
                 let entry = sums
                     .entry((demand.group.clone(), demand.rule.clone()))
@@ -301,10 +307,7 @@
             };
             measured.seen_at = now;
             for (area, micros) in distances {
-                let kept = measured
-                    .distance
-                    .entry(area)
-                    .or_insert(f64::from(micros));
+                let kept = measured.distance.entry(area).or_insert(f64::from(micros));
                 *kept = 0.8 * *kept + 0.2 * f64::from(micros);
             }
         }
@@ -355,7 +358,11 @@
                 groups.push((group.clone(), measured.demand.ceil().max(1.0) as u32));
             }
         }
-        let total: u64 = by_rule.values().flatten().map(|(_, units)| u64::from(*units)).sum();
+        let total: u64 = by_rule
+            .values()
+            .flatten()
+            .map(|(_, units)| u64::from(*units))
+            .sum();
         let last: HashMap<(&str, &RuleName), &GroupPlacement> = view
             .last
             .iter()
@@ -460,7 +467,12 @@
             return true;
         }
         let total = |placement: &GroupPlacement| -> u32 {
-            placement.shares.iter().map(|share| share.units).sum::<u32>().max(1)
+            placement
+                .shares
+                .iter()
+                .map(|share| share.units)
+                .sum::<u32>()
+                .max(1)
         };
         let part = |placement: &GroupPlacement, area: &Area| -> u32 {
             let units = placement
@@ -503,7 +515,11 @@
     };
     let placement = find(group).or_else(|| find(UNSEEN_GROUP))?;
     let unseen = placement.group == UNSEEN_GROUP;
-    let total: u64 = placement.shares.iter().map(|share| u64::from(share.units)).sum();
+    let total: u64 = placement
+        .shares
+        .iter()
+        .map(|share| u64::from(share.units))
+        .sum();
     let mut point = draw % total.max(1);
     let mut order: Vec<&Area> = Vec::new();
     for share in &placement.shares {
--- a/crates/caperworks/src/prelude.rs
+++ b/crates/caperworks/src/prelude.rs
@@ -1,5 +1,6 @@
 //! The one module that each file of this crate, and each program, imports.
 
+pub use std::cmp::Reverse;
 pub use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 pub use std::fmt;
 pub use std::net::{IpAddr, Ipv4Addr, SocketAddr};
--- a/crates/caperworks/src/slots.rs
+++ b/crates/caperworks/src/slots.rs
@@ -110,7 +110,10 @@
             unframed(SLOT_MAGIC, &image.slots[1]),
         ];
         let first_line = unframed(LINE_MAGIC, &image.log);
-        let newest = slots.iter().flatten().max_by_key(|(generation, _)| *generation);
+        let newest = slots
+            .iter()
+            .flatten()
+            .max_by_key(|(generation, _)| *generation);
         let Some((generation, state)) = newest else {
             return if image.slots.iter().all(|slot| blank(slot)) && blank(&image.log) {
                 Recovery::Empty
@@ -182,7 +185,11 @@
             unframed(SLOT_MAGIC, &image.slots[1]),
             unframed(LINE_MAGIC, &image.log),
         ];
-        let highest = seen.iter().flatten().map(|(generation, _)| *generation).max();
+        let highest = seen
+            .iter()
+            .flatten()
+            .map(|(generation, _)| *generation)
+            .max();
         self.generation = highest.unwrap_or(0) + 1;
         self.log_length = self.log_room;
     }
--- a/crates/caperworks/src/standing.rs
+++ b/crates/caperworks/src/standing.rs
@@ -86,12 +86,18 @@
             (Some(Value::Pool { pool }), "pool") => check_pool(&put.key, pool, &mut faults),
             (Some(Value::Area { area }), "area") => {
                 if !name_is_good(area.region.as_str()) {
-                    faults.push(Fault::new(format!("{}.region", put.key), "give a region's name"));
+                    faults.push(Fault::new(
+                        format!("{}.region", put.key),
+                        "give a region's name",
+                    ));
                 }
             }
             (None, "rule" | "pool" | "area") => {
                 if !book.items.contains_key(&put.key) {
-                    faults.push(Fault::new(&put.key, "cannot be dropped: there is no such item"));
+                    faults.push(Fault::new(
+                        &put.key,
+                        "cannot be dropped: there is no such item",
+                    ));
                 }
             }
             _ => faults.push(Fault::new(&put.key, "kind and contents do not go together")),
@@ -100,7 +106,10 @@
     let mut after = book.clone();
     after.apply(change);
     if after.items.len() > MOST_ITEMS {
-        let why = format!("there would be {} items, {MOST_ITEMS} are the most", after.items.len());
+        let why = format!(
+            "there would be {} items, {MOST_ITEMS} are the most",
+            after.items.len()
+        );
         faults.push(Fault::new("items", why));
     }
     let bytes = minicbor::to_vec(&after).map_or(usize::MAX, |bytes| bytes.len());
@@ -109,7 +118,10 @@
         faults.push(Fault::new("items", why));
     }
     let pools: BTreeMap<PoolName, &Pool> = after.pools().collect();
-    let regions: BTreeSet<Region> = after.areas().map(|(_, order)| order.region.clone()).collect();
+    let regions: BTreeSet<Region> = after
+        .areas()
+        .map(|(_, order)| order.region.clone())
+        .collect();
     let mut matches: BTreeMap<(&str, &str), RuleName> = BTreeMap::new();
     for (name, rule) in after.rules() {
         match pools.get(&rule.pool) {
@@ -155,7 +167,7 @@
                 .push((name, rule.clone()));
         }
         for rules in by_host.values_mut() {
-            rules.sort_by_key(|(_, rule)| std::cmp::Reverse(rule.path.len()));
+            rules.sort_by_key(|(_, rule)| Reverse(rule.path.len()));
         }
         Self { by_host }
     }
--- a/crates/caperworks/src/tenure.rs
+++ b/crates/caperworks/src/tenure.rs
@@ -46,6 +46,13 @@
     epoch: Epoch,
 }
 
+impl SliceWatch {
+    /// Whether the owner refuses this epoch for good, so that only a new one can bring it back.
+    fn is_given_up(&self) -> bool {
+        self.spurned || self.releasing
+    }
+}
+
 /// The tenure keeper; one ledger has the duty.
 #[derive(Debug, Clone, Default)]
 pub struct Keeper {
@@ -55,6 +62,14 @@
     pub hasty: bool,
 }
 
+/// What the keeper draws a plan from.
+#[derive(Debug, Clone, Copy)]
+pub struct TenureView<'view> {
+    pub instances: &'view Instances,
+    pub closed: &'view BTreeSet<Area>,
+    pub tenure: &'view Book,
+}
+
 impl Keeper {
     /// Starts a term. Holds given by the keeper before may live until `now + KEEPER_WAIT`.
     pub fn take_up(&mut self, now: Duration) {
@@ -92,9 +107,10 @@
         };
         for (slice, owner) in table.owners.iter().enumerate() {
             let slice = slice as u32;
-            let Some(owner) = owner.as_ref().filter(|owner| {
-                owner.instance == beat.id && owner.incarnation == beat.incarnation
-            }) else {
+            let Some(owner) = owner
+                .as_ref()
+                .filter(|owner| owner.instance == beat.id && owner.incarnation == beat.incarnation)
+            else {
                 continue;
             };
             let holding = beat.holding.contains(&slice);
@@ -135,10 +151,13 @@
         epoch: Epoch,
         name: &PoolName,
         pool: &Pool,
-        instances: &Instances,
-        closed: &BTreeSet<Area>,
-        tenure: &Book,
+        view: &TenureView<'_>,
     ) -> Option<SliceTable> {
+        let TenureView {
+            instances,
+            closed,
+            tenure,
+        } = *view;
         let wanted = pool.slices as usize;
         let mut table = tenure.slices(name).cloned().unwrap_or(SliceTable {
             epoch,
@@ -154,14 +173,7 @@
             .filter(|beat| beat.pool == *name && !closed.contains(&beat.area))
             .filter(|beat| beat.state != InstanceState::Leaving)
             .collect();
-        let warm: Vec<&Beat> = able
-            .iter()
-            .copied()
-            .filter(|beat| !beat.is_cold(pool.warm_span))
-            .collect();
-        // Why the cold as a last resort: a slow owner is better than none.
-        let hosts = if warm.is_empty() { able } else { warm };
-        let targets = targets(name, wanted, &hosts);
+        let targets = targets(name, &table.owners, &able, pool.warm_span);
         let mut changed = false;
         let mut moving = self
             .watches
@@ -211,7 +223,7 @@
                 (Some(owner), Some((id, incarnation))) => {
                     owner.instance == *id
                         && owner.incarnation == *incarnation
-                        && !self.watch(name, slice as u32, owner.epoch).spurned
+                        && !self.watch(name, slice as u32, owner.epoch).is_given_up()
                 }
                 _ => false,
             };
@@ -233,7 +245,16 @@
 }
 
 /// Rendezvous hashing with a bound on how many slices one instance may get.
-fn targets<'beats>(name: &PoolName, slices: usize, hosts: &[&'beats Beat]) -> Vec<Option<&'beats Beat>> {
+///
+/// Why a cold instance keeps what it has but gets nothing new while a warm one has room: the
+/// first to be warm after a restart of all must not draw every slice to itself.
+fn targets<'beats>(
+    name: &PoolName,
+    owners: &[Option<SliceOwner>],
+    hosts: &[&'beats Beat],
+    warm_span: Duration,
+) -> Vec<Option<&'beats Beat>> {
+    let slices = owners.len();
     if hosts.is_empty() {
         return vec![None; slices];
     }
@@ -241,14 +262,20 @@
     let mut given: BTreeMap<&InstanceId, usize> = BTreeMap::new();
     (0..slices)
         .map(|slice| {
-            let mut ranked: Vec<(u64, &&Beat)> = hosts
+            let mut ranked: Vec<(bool, Reverse<u64>, &'beats Beat)> = hosts
                 .iter()
-                .map(|beat| (steady_hash(&format!("{name} {slice} {}", beat.id)), beat))
+                .filter(|beat| given.get(&beat.id).copied().unwrap_or(0) < most)
+                .map(|beat| {
+                    let owns = owners[slice].as_ref().is_some_and(|owner| {
+                        owner.instance == beat.id && owner.incarnation == beat.incarnation
+                    });
+                    let shy = beat.is_cold(warm_span) && !owns;
+                    let hash = steady_hash(&format!("{name} {slice} {}", beat.id));
+                    (shy, Reverse(hash), *beat)
+                })
                 .collect();
-            ranked.sort_by_key(|(hash, _)| std::cmp::Reverse(*hash));
-            let (_, pick) = ranked
-                .into_iter()
-                .find(|(_, beat)| given.get(&beat.id).copied().unwrap_or(0) < most)?;
+            ranked.sort_by_key(|(shy, hash, _)| (*shy, *hash));
+            let (_, _, pick) = ranked.first()?;
             *given.entry(&pick.id).or_default() += 1;
             Some(*pick)
         })
--- a/crates/cuesheet/src/main.rs
+++ b/crates/cuesheet/src/main.rs
@@ -38,7 +38,10 @@
     match (order.method(), order.uri().path()) {
         (&Method::GET, "/ready") => {
             let ready = locked(machine).has_mapping();
-            json_answer(if ready { 200 } else { 503 }, &jzon::object! { ready: ready })
+            json_answer(
+                if ready { 200 } else { 503 },
+                &jzon::object! { ready: ready },
+            )
         }
         (&Method::GET, "/where") => {
             let query = order.uri().query().unwrap_or_default();
@@ -95,7 +98,13 @@
         inbox.give(CuesheetInput::Heard { envelope });
     })
     .await?;
-    event(STARTED, format!("cuesheet {node} control {} serving {}", place.control, place.serving));
+    event(
+        STARTED,
+        format!(
+            "cuesheet {node} control {} serving {}",
+            place.control, place.serving
+        ),
+    );
     let worker = Worker {
         machine: machine.clone(),
         port,
--- a/crates/foreman/src/main.rs
+++ b/crates/foreman/src/main.rs
@@ -31,7 +31,9 @@
         .to_options()
         .descr("Apply a change set, whole or not at all")
         .command("apply");
-    let resource = positional::<String>("KIND/NAME").help("Such as rule/lookups").optional();
+    let resource = positional::<String>("KIND/NAME")
+        .help("Such as rule/lookups")
+        .optional();
     let get = construct!(Command::Get { resource })
         .to_options()
         .descr("Read one resource, or all of them")
@@ -59,14 +61,19 @@
         .descr("Show seats, duties, members, lag and unplaced demand")
         .command("status");
     let command = construct!([apply, get, watch, close, open, status]);
-    construct!(Flags { ledgers, command }).to_options().descr(HELP)
+    construct!(Flags { ledgers, command })
+        .to_options()
+        .descr(HELP)
 }
 
 /// Asks the ledgers in turn until one gives an answer that settles the matter.
 ///
 /// Why it is safe to send a change to the next: every repeat carries the same change id, and the
 /// core answers a repeat with the first answer.
-async fn ask(ledgers: &[SocketAddr], make: impl Fn(SocketAddr) -> Fetch) -> anyhow::Result<Fetched> {
+async fn ask(
+    ledgers: &[SocketAddr],
+    make: impl Fn(SocketAddr) -> Fetch,
+) -> anyhow::Result<Fetched> {
     let mut last = None;
     for ledger in ledgers {
         match make(*ledger).patience(Duration::from_secs(35)).send().await {
--- a/crates/ledger/src/blackboard.rs
+++ b/crates/ledger/src/blackboard.rs
@@ -219,7 +219,9 @@
         if !self.disk.slot_fits(state.len()) {
             // Why not write: a slot cut short would be the loss of everything.
             self.ailing = true;
-            let event = Event::StateTooLarge { bytes: state.len() as u64 };
+            let event = Event::StateTooLarge {
+                bytes: state.len() as u64,
+            };
             self.note(event);
             return;
         }
--- a/crates/ledger/src/council.rs
+++ b/crates/ledger/src/council.rs
@@ -118,7 +118,10 @@
     }
     // Why the others too: a ledger without a seat still takes part in what is heard of late.
     for to in board.other_ledgers() {
-        if !board.seats().is_some_and(|seats| seats.holders.iter().any(|seat| seat.address == to)) {
+        if !board
+            .seats()
+            .is_some_and(|seats| seats.holders.iter().any(|seat| seat.address == to))
+        {
             board.send(to, Message::RoundAsk { number });
         }
     }
--- a/crates/ledger/src/duties.rs
+++ b/crates/ledger/src/duties.rs
@@ -22,7 +22,10 @@
             }
             DutyStep::Take { term, expected } => {
                 if !board.asked(&Asker::Duty(name)) {
-                    board.note(Event::DutyWanted { duty: name, epoch: term.epoch });
+                    board.note(Event::DutyWanted {
+                        duty: name,
+                        epoch: term.epoch,
+                    });
                     let key = format!("duty/{name}");
                     let value = Value::Duty { term };
                     let change = single_put(board, name, key, expected, value);
@@ -142,11 +145,12 @@
         .map(|(area, _)| area)
         .collect();
     for (name, pool) in pools {
-        let tenure = board.seat.book(BookName::Tenure);
-        let planned =
-            board
-                .keeper
-                .plan(now, epoch, &name, &pool, &board.instances, &closed, tenure);
+        let view = TenureView {
+            instances: &board.instances,
+            closed: &closed,
+            tenure: board.seat.book(BookName::Tenure),
+        };
+        let planned = board.keeper.plan(now, epoch, &name, &pool, &view);
         let Some(table) = planned else {
             continue;
         };
@@ -167,9 +171,8 @@
         release: Vec::new(),
     };
     let term = board.book(BookName::Cohort).duty(TENURE).cloned();
-    let ours = term.is_some_and(|term| {
-        term.holder == board.node && board.keeper_epoch == Some(term.epoch)
-    });
+    let ours = term
+        .is_some_and(|term| term.holder == board.node && board.keeper_epoch == Some(term.epoch));
     let fence = board.book(BookName::Tenure).fence().map(|term| term.epoch);
     if !ours
         || fence != board.keeper_epoch
--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine.rs
@@ -9,12 +9,24 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum LedgerInput {
     Tick,
-    Heard { envelope: Envelope },
-    Synced { ticket: u64 },
-    WriteFailed { ticket: u64 },
-    Operator { ticket: u64, call: OperatorCall },
+    Heard {
+        envelope: Envelope,
+    },
+    Synced {
+        ticket: u64,
+    },
+    WriteFailed {
+        ticket: u64,
+    },
+    Operator {
+        ticket: u64,
+        call: OperatorCall,
+    },
     /// A beat that an instance sent straight to us.
-    Beat { ticket: u64, beat: Beat },
+    Beat {
+        ticket: u64,
+        beat: Beat,
+    },
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -35,11 +47,22 @@
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum OperatorAnswer {
-    Verdict { verdict: Verdict },
-    Standing { book: Book },
-    Changes { edition: Edition, news: Option<Vote> },
-    Status { status: Box<LedgerStatus> },
-    Beat { answer: BeatAnswer },
+    Verdict {
+        verdict: Verdict,
+    },
+    Standing {
+        book: Book,
+    },
+    Changes {
+        edition: Edition,
+        news: Option<Vote>,
+    },
+    Status {
+        status: Box<LedgerStatus>,
+    },
+    Beat {
+        answer: BeatAnswer,
+    },
     /// This ledger cannot vouch for what it knows.
     NotCurrent,
 }
@@ -194,7 +217,13 @@
             LedgerInput::Operator { ticket, call } => operator(board, ticket, call),
             LedgerInput::Beat { ticket, beat } => {
                 let age = Duration::ZERO;
-                board.instances.hear(now, &HeardBeat { beat: beat.clone(), age });
+                board.instances.hear(
+                    now,
+                    &HeardBeat {
+                        beat: beat.clone(),
+                        age,
+                    },
+                );
                 let answer = OperatorAnswer::Beat {
                     answer: duties::answer_beat(board, &beat),
                 };
@@ -246,7 +275,11 @@
 }
 
 fn hear(board: &mut Blackboard, envelope: Envelope) {
-    let Envelope { from, reply_to, message } = envelope;
+    let Envelope {
+        from,
+        reply_to,
+        message,
+    } = envelope;
     match message {
         Message::Vote { vote } => council::hear_vote(board, from, reply_to, vote),
         Message::RoundAsk { number } => council::hear_round_ask(board, reply_to, number),
@@ -254,8 +287,17 @@
             council::hear_round_answer(board, from, reply_to, number, editions);
         }
         Message::SeedAsk => council::hear_seed_ask(board, reply_to),
-        Message::SeedAnswer { area, founded, seats } => {
-            let seen = SeedSeen { node: from, area, founded, seats };
+        Message::SeedAnswer {
+            area,
+            founded,
+            seats,
+        } => {
+            let seen = SeedSeen {
+                node: from,
+                area,
+                founded,
+                seats,
+            };
             council::hear_seed_answer(board, reply_to, seen);
         }
         Message::FoundAsk { founding } => council::hear_found_ask(board, reply_to, founding),
@@ -286,7 +328,13 @@
     let now = board.now;
     let age = Duration::ZERO;
     let member = renewal.member;
-    board.members.hear(now, &HeardMember { member: member.clone(), age });
+    board.members.hear(
+        now,
+        &HeardMember {
+            member: member.clone(),
+            age,
+        },
+    );
     // Why the place only counts under our own name: another ledger numbers its facts otherwise.
     let (instances_after, members_after) = if renewal.ledger == board.node {
         (renewal.instances_after, renewal.members_after)
@@ -296,12 +344,19 @@
     let news: Vec<Vote> = ALL_BOOKS
         .iter()
         .filter_map(|name| {
-            let held = member.editions.get(name.index()).copied().unwrap_or_default();
+            let held = member
+                .editions
+                .get(name.index())
+                .copied()
+                .unwrap_or_default();
             board.seat.news_after(*name, held)
         })
         .collect();
     let round = match board.options.broken {
-        Broken::LoneGrants => Some((Duration::ZERO, ALL_BOOKS.map(|name| board.book(name).edition).to_vec())),
+        Broken::LoneGrants => Some((
+            Duration::ZERO,
+            ALL_BOOKS.map(|name| board.book(name).edition).to_vec(),
+        )),
         _ => board
             .rounds
             .latest(now)
@@ -337,7 +392,11 @@
 }
 
 fn write_failed(board: &mut Blackboard, ticket: u64) {
-    if board.unsynced_slot.take_if(|slot| *slot >= ticket).is_some() {
+    if board
+        .unsynced_slot
+        .take_if(|slot| *slot >= ticket)
+        .is_some()
+    {
         board.disk.same_slot_again();
     }
     // Why all of them: what was to be written after a lost line has a gap before it.
@@ -367,7 +426,11 @@
         }
         OperatorCall::Watch { after, wait } => {
             let until = board.now + wait;
-            board.watchers.push(Watcher { ticket, after, until });
+            board.watchers.push(Watcher {
+                ticket,
+                after,
+                until,
+            });
             return;
         }
         OperatorCall::Status => OperatorAnswer::Status {
@@ -390,12 +453,14 @@
             .iter()
             .flat_map(|seats| &seats.holders)
             .map(|holder| {
-                let alive = holder.node == board.node
-                    || board.liveness.alive(board.now, holder.node);
+                let alive =
+                    holder.node == board.node || board.liveness.alive(board.now, holder.node);
                 (holder.clone(), alive)
             })
             .collect(),
-        duties: DUTIES.map(|name| (name, cohort.duty(name).cloned())).to_vec(),
+        duties: DUTIES
+            .map(|name| (name, cohort.duty(name).cloned()))
+            .to_vec(),
         members: board.members.iter().cloned().collect(),
         instances: board.instances.iter().cloned().collect(),
         mapping: board.book(BookName::Placement).mapping().cloned(),
--- a/crates/ledger/src/main.rs
+++ b/crates/ledger/src/main.rs
@@ -82,7 +82,8 @@
     }
 
     async fn call(&self, call: OperatorCall) -> Option<OperatorAnswer> {
-        self.ask(|ticket| LedgerInput::Operator { ticket, call }).await
+        self.ask(|ticket| LedgerInput::Operator { ticket, call })
+            .await
     }
 
     async fn answer(&self, order: Request<Incoming>) -> Response<Body> {
@@ -246,7 +247,16 @@
         });
     });
     let tickets = Arc::new(Tickets::default());
-    event(STARTED, format!("ledger {} control {} serving {} area {}", machine.node(), place.control, place.serving, place.area));
+    event(
+        STARTED,
+        format!(
+            "ledger {} control {} serving {} area {}",
+            machine.node(),
+            place.control,
+            place.serving,
+            place.area
+        ),
+    );
     let mut worker = Worker {
         machine,
         port,
--- a/crates/ledger/src/orders.rs
+++ b/crates/ledger/src/orders.rs
@@ -63,7 +63,10 @@
         let value = self.get(name)?;
         let number = value.as_u64();
         if number.is_none() {
-            faults.push(Fault::new(self.field(name), "must be a whole number from 0 up"));
+            faults.push(Fault::new(
+                self.field(name),
+                "must be a whole number from 0 up",
+            ));
         }
         number
     }
@@ -117,7 +120,9 @@
         pool: PoolName::new(reader.needed_text("pool", faults)),
         home: reader.text("home", faults).map(Region::new),
         deadline: Duration::from_millis(reader.number("deadline_ms", faults).unwrap_or(2000)),
-        body_limit: reader.number("body_limit", faults).unwrap_or(DEFAULT_BODY_LIMIT),
+        body_limit: reader
+            .number("body_limit", faults)
+            .unwrap_or(DEFAULT_BODY_LIMIT),
         key_header: reader
             .text("key_header", faults)
             .map(|name| name.to_ascii_lowercase()),
@@ -155,10 +160,15 @@
     let kind = reader.needed_text("kind", faults);
     let name = reader.needed_text("name", faults);
     let expected = reader.number("edition", faults).map(Edition);
-    let known = ["rule", "pool", "area"].into_iter().find(|known| *known == kind);
+    let known = ["rule", "pool", "area"]
+        .into_iter()
+        .find(|known| *known == kind);
     let value = match (drops, known) {
         (_, None) => {
-            faults.push(Fault::new(format!("{path}.kind"), "must be rule, pool or area"));
+            faults.push(Fault::new(
+                format!("{path}.kind"),
+                "must be rule, pool or area",
+            ));
             None
         }
         (true, Some(_)) => None,
@@ -194,12 +204,20 @@
     };
     let id = reader.needed_text("id", &mut faults);
     if id.is_empty() || id.len() > 128 {
-        faults.push(Fault::new("id", "give a name of 1 to 128 characters for this change set"));
+        faults.push(Fault::new(
+            "id",
+            "give a name of 1 to 128 characters for this change set",
+        ));
     }
     let mut puts = Vec::new();
     for (name, drops) in [("put", false), ("drop", true)] {
         for (place, item) in reader.list(name, &mut faults).iter().enumerate() {
-            puts.extend(read_put(&format!("{name}[{place}]"), item, drops, &mut faults));
+            puts.extend(read_put(
+                &format!("{name}[{place}]"),
+                item,
+                drops,
+                &mut faults,
+            ));
         }
     }
     reader.finish(&mut faults);
@@ -366,9 +384,9 @@
         .members
         .iter()
         .map(|member| {
-            let lag = status.editions[0].0.saturating_sub(
-                member.editions.first().copied().unwrap_or_default().0,
-            );
+            let lag = status.editions[0]
+                .0
+                .saturating_sub(member.editions.first().copied().unwrap_or_default().0);
             jzon::object! {
                 node: member.node.0,
                 role: if member.role == Role::Proxy { "proxy" } else { "directory" },
@@ -403,7 +421,10 @@
         .flat_map(|mapping| &mapping.groups)
         .map(|group| u64::from(group.unplaced))
         .sum();
-    let groups = status.mapping.as_ref().map_or(0, |mapping| mapping.groups.len());
+    let groups = status
+        .mapping
+        .as_ref()
+        .map_or(0, |mapping| mapping.groups.len());
     jzon::object! {
         node: status.node.0,
         area: status.area.as_str(),
--- a/crates/mentor/src/machine.rs
+++ b/crates/mentor/src/machine.rs
@@ -23,10 +23,18 @@
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum MentorOutput {
-    Send { to: SocketAddr, message: Message },
+    Send {
+        to: SocketAddr,
+        message: Message,
+    },
     /// `None` when no ledger heard the beat: the instance must take it elsewhere.
-    AnswerBeat { ticket: u64, answer: Option<BeatAnswer> },
-    Note { event: MentorEvent },
+    AnswerBeat {
+        ticket: u64,
+        answer: Option<BeatAnswer>,
+    },
+    Note {
+        event: MentorEvent,
+    },
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -118,7 +126,11 @@
         let fresh = now < self.link.fresh_until();
         if fresh != self.was_fresh {
             self.was_fresh = fresh;
-            let event = if fresh { MentorEvent::Fresh } else { MentorEvent::Stale };
+            let event = if fresh {
+                MentorEvent::Fresh
+            } else {
+                MentorEvent::Stale
+            };
             outputs.push(MentorOutput::Note { event });
         }
         outputs
--- a/crates/mentor/src/main.rs
+++ b/crates/mentor/src/main.rs
@@ -82,7 +82,15 @@
         heard.give(MentorInput::Heard { envelope });
     })
     .await?;
-    event(STARTED, format!("mentor {} control {} area {}", machine.node(), place.control, place.area));
+    event(
+        STARTED,
+        format!(
+            "mentor {} control {} area {}",
+            machine.node(),
+            place.control,
+            place.area
+        ),
+    );
     let tickets = Arc::new(Tickets::default());
     let worker = Worker {
         machine,
--- a/crates/playout/src/carrier.rs
+++ b/crates/playout/src/carrier.rs
@@ -74,12 +74,18 @@
     }
 
     pub fn shard(&self, pool: &PoolName) -> Arc<Mutex<PoolShard>> {
-        let read = self.shards.read().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let read = self
+            .shards
+            .read()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
         if let Some(shard) = read.get(pool) {
             return shard.clone();
         }
         drop(read);
-        let mut write = self.shards.write().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut write = self
+            .shards
+            .write()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
         let seed = self.seed ^ steady_hash(pool.as_str());
         write
             .entry(pool.clone())
@@ -92,12 +98,18 @@
         let mut next = (*self.knowledge()).clone();
         next.take(asked_at, view);
         self.circuits.keep_only(&next.instances);
-        let shards = self.shards.read().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let shards = self
+            .shards
+            .read()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
         for shard in shards.values() {
             locked(shard).keep_only(&next.instances);
         }
         drop(shards);
-        *self.knowledge.write().unwrap_or_else(std::sync::PoisonError::into_inner) = Arc::new(next);
+        *self
+            .knowledge
+            .write()
+            .unwrap_or_else(std::sync::PoisonError::into_inner) = Arc::new(next);
     }
 
     pub fn is_ready(&self) -> bool {
@@ -125,12 +137,20 @@
 
     /// What was measured of late: orders a second by group and rule, and how far the group is.
     pub fn demand(&self) -> Vec<Demand> {
-        let oldest = self.clock.now().as_secs().saturating_sub(METER_SPAN.as_secs());
+        let oldest = self
+            .clock
+            .now()
+            .as_secs()
+            .saturating_sub(METER_SPAN.as_secs());
         let mut demand = Vec::new();
         for shard in &self.meter {
             let mut meter = locked(shard);
             meter.retain(|(group, rule), metered| {
-                while metered.seconds.front().is_some_and(|first| first.0 < oldest) {
+                while metered
+                    .seconds
+                    .front()
+                    .is_some_and(|first| first.0 < oldest)
+                {
                     metered.seconds.pop_front();
                 }
                 let orders: u32 = metered.seconds.iter().map(|second| second.1).sum();
@@ -186,11 +206,7 @@
         let knowledge = self.knowledge();
         let now = self.clock.now();
         let path = head.uri.path();
-        let Some((name, rule)) = knowledge.table.find(&host, path).cloned() else {
-            // Why not "no rule" when stale: a rule may have come that we have not heard of.
-            let stale = now >= knowledge.fresh_until;
-            return Err(if stale { Mishap::Stale } else { Mishap::NoRule });
-        };
+        let (name, rule) = knowledge.find(now, &host, path)?;
         chart.matched(now, &rule);
         self.measure(now, &far_end, &name);
         knowledge.admits(now, &self.area, &rule)?;
@@ -258,7 +274,12 @@
             if over.load(Ordering::SeqCst) {
                 // Why unknown: bytes have left, though the instance cannot have had all of them.
                 chart.refuse(Mishap::LostAfterSending);
-                return Ok(told_answer(413, "unknown", Mishap::BodyTooLarge.word(), None));
+                return Ok(told_answer(
+                    413,
+                    "unknown",
+                    Mishap::BodyTooLarge.word(),
+                    None,
+                ));
             }
             tried.push(target.instance);
             let now = self.clock.now();
@@ -322,7 +343,9 @@
         };
         // The last moment before the first byte: everything that may have changed is asked again.
         let now = self.clock.now();
-        let good = self.knowledge().still_good(now, &self.area, outgoing.rule, &target);
+        let good = self
+            .knowledge()
+            .still_good(now, &self.area, outgoing.rule, &target);
         if let Err(mishap) = good {
             self.circuits.give_back(key, circuit);
             guard.good = true;
@@ -364,7 +387,8 @@
         if echoed.is_some_and(|echoed| echoed != outgoing.order_id) || !well_framed(&answer) {
             return ShotAnswer::Ended(ShotEnd::Garbage);
         }
-        self.pass_on(answer, circuit, key, guard, chart, under_way).await
+        self.pass_on(answer, circuit, key, guard, chart, under_way)
+            .await
     }
 
     async fn pass_on(
@@ -380,7 +404,10 @@
         strip_hop_by_hop(&mut head.headers);
         strip_own(&mut head.headers);
         let left = chart.deadline().saturating_sub(self.clock.now());
-        let small = body.size_hint().exact().is_some_and(|length| length <= SMALL);
+        let small = body
+            .size_hint()
+            .exact()
+            .is_some_and(|length| length <= SMALL);
         if small {
             return match tokio::time::timeout(left, body.collect()).await {
                 Ok(Ok(collected)) => {
@@ -417,7 +444,12 @@
 }
 
 impl Outgoing<'_> {
-    fn request(&self, target: &Target, left: Duration, body: Body) -> Result<Request<Body>, Mishap> {
+    fn request(
+        &self,
+        target: &Target,
+        left: Duration,
+        body: Body,
+    ) -> Result<Request<Body>, Mishap> {
         let path = self
             .head
             .uri
--- a/crates/playout/src/main.rs
+++ b/crates/playout/src/main.rs
@@ -77,7 +77,13 @@
         }
     })
     .await?;
-    event(STARTED, format!("playout serving {} agent {agent} area {}", place.serving, place.area));
+    event(
+        STARTED,
+        format!(
+            "playout serving {} agent {agent} area {}",
+            place.serving, place.area
+        ),
+    );
     start_pulling(carrier.clone(), port, agent, asked);
     let listener = listen(place.serving).await?;
     let stop = Arc::new(AtomicBool::new(false));
--- a/crates/playout/src/passing.rs
+++ b/crates/playout/src/passing.rs
@@ -119,9 +119,7 @@
                 self.left -= length;
                 Poll::Ready(Some(Ok(frame)))
             }
-            Poll::Ready(Some(Err(mishap))) => {
-                Poll::Ready(Some(Err(std::io::Error::other(mishap))))
-            }
+            Poll::Ready(Some(Err(mishap))) => Poll::Ready(Some(Err(std::io::Error::other(mishap)))),
             Poll::Ready(None) => Poll::Ready(None),
             Poll::Pending => Poll::Pending,
         }
--- a/crates/rehearsal/examples/play.rs
+++ b/crates/rehearsal/examples/play.rs
@@ -37,7 +37,10 @@
                     bad.fetch_add(1, order);
                 }
                 for breach in observers.breaches.iter().take(4) {
-                    println!("seed {seed} BREACH {:?} at {:?}: {}", breach.line, breach.at, breach.what);
+                    println!(
+                        "seed {seed} BREACH {:?} at {:?}: {}",
+                        breach.line, breach.at, breach.what
+                    );
                 }
             });
         }
--- a/crates/rehearsal/src/actors.rs
+++ b/crates/rehearsal/src/actors.rs
@@ -62,11 +62,30 @@
 /// What a proxy wants done.
 #[derive(Debug, Clone)]
 pub enum ProxyWish {
-    Open { order: u64, shot: u32, target: Target },
-    Shoot { order: u64, shot: u32, target: Target, further: bool },
-    Answer { order: Order, told: ToldCaller, answered: Option<u64>, mishap: Option<Mishap> },
-    Pull { message: Message },
-    WakeAt { order: u64, at: Duration },
+    Open {
+        order: u64,
+        shot: u32,
+        target: Target,
+    },
+    Shoot {
+        order: u64,
+        shot: u32,
+        target: Target,
+        further: bool,
+    },
+    Answer {
+        order: Order,
+        told: ToldCaller,
+        answered: Option<u64>,
+        mishap: Option<Mishap>,
+    },
+    Pull {
+        message: Message,
+    },
+    WakeAt {
+        order: u64,
+        at: Duration,
+    },
 }
 
 /// The answer of an instance.
@@ -97,7 +116,13 @@
 const OPEN_PATIENCE: Duration = Duration::from_millis(400);
 
 impl SimProxy {
-    pub fn new(area: Area, serving: SocketAddr, capacity: u32, seed: u64, broken: BrokenProxy) -> Self {
+    pub fn new(
+        area: Area,
+        serving: SocketAddr,
+        capacity: u32,
+        seed: u64,
+        broken: BrokenProxy,
+    ) -> Self {
         Self {
             area,
             serving,
@@ -134,7 +159,8 @@
                     locality,
                 })
                 .collect();
-            self.demand.sort_by(|one, other| (&one.group, &one.rule).cmp(&(&other.group, &other.rule)));
+            self.demand
+                .sort_by(|one, other| (&one.group, &one.rule).cmp(&(&other.group, &other.rule)));
         }
         self.pull_number += 1;
         self.pulls.push_back((self.pull_number, now));
@@ -150,15 +176,18 @@
             capacity: self.capacity,
             demand: self.demand.clone(),
         };
-        vec![ProxyWish::Pull { message: Message::Pull { pull } }]
+        vec![ProxyWish::Pull {
+            message: Message::Pull { pull },
+        }]
     }
 
     pub fn take_view(&mut self, view: &ProxyView) {
-        let Some((_, asked_at)) = self.pulls.iter().find(|(number, _)| *number == view.number) else {
+        let Some((_, asked_at)) = self.pulls.iter().find(|(number, _)| *number == view.number)
+        else {
             return;
         };
         let asked_at = *asked_at;
-        if self.broken == BrokenProxy::GoesBack && view.number % 40 == 0 {
+        if self.broken == BrokenProxy::GoesBack && view.number.is_multiple_of(40) {
             self.knowledge.books = Follower::default();
         }
         let mut view = view.clone();
@@ -191,11 +220,18 @@
         rule
     }
 
-    pub fn receive(&mut self, now: Duration, order: Order, group: String, locality: Duration) -> Vec<ProxyWish> {
-        let mut chart = OrderChart::received(!order.write || self.broken == BrokenProxy::RepeatsWrites);
-        let found = self.knowledge.table.find(&order.host, &order.path).cloned();
-        let Some((name, rule)) = found else {
-            return vec![self.answered(order, &mut chart, Mishap::NoRule)];
+    pub fn receive(
+        &mut self,
+        now: Duration,
+        order: Order,
+        group: String,
+        locality: Duration,
+    ) -> Vec<ProxyWish> {
+        let mut chart =
+            OrderChart::received(!order.write || self.broken == BrokenProxy::RepeatsWrites);
+        let (name, rule) = match self.knowledge.find(now, &order.host, &order.path) {
+            Ok(found) => found,
+            Err(mishap) => return vec![self.answered(order, &mut chart, mishap)],
         };
         let rule = self.rule_of(&rule);
         chart.matched(now, &rule);
@@ -226,7 +262,10 @@
                 standing: Edition(0),
             },
         );
-        let mut wishes = vec![ProxyWish::WakeAt { order: number, at: deadline }];
+        let mut wishes = vec![ProxyWish::WakeAt {
+            order: number,
+            at: deadline,
+        }];
         wishes.extend(self.choose(now, number));
         wishes
     }
@@ -238,7 +277,12 @@
             Told::Unknown if self.broken == BrokenProxy::SaysNotRun => ToldCaller::NotRun,
             Told::Unknown => ToldCaller::Unknown,
         };
-        ProxyWish::Answer { order, told, answered: None, mishap: Some(mishap) }
+        ProxyWish::Answer {
+            order,
+            told,
+            answered: None,
+            mishap: Some(mishap),
+        }
     }
 
     fn finish(&mut self, number: u64, mishap: Mishap) -> Vec<ProxyWish> {
@@ -263,7 +307,14 @@
             .admits(now, &self.area, &carried.rule)
             .and_then(|()| {
                 let key = carried.order.key.as_deref();
-                shard.choose(now, &self.knowledge, &self.area, &carried.rule, key, &carried.tried)
+                shard.choose(
+                    now,
+                    &self.knowledge,
+                    &self.area,
+                    &carried.rule,
+                    key,
+                    &carried.tried,
+                )
             });
         match chosen {
             Ok(target) => {
@@ -274,8 +325,15 @@
                 carried.target = Some(target.clone());
                 let shot = carried.shot;
                 vec![
-                    ProxyWish::WakeAt { order: number, at: now + OPEN_PATIENCE },
-                    ProxyWish::Open { order: number, shot, target },
+                    ProxyWish::WakeAt {
+                        order: number,
+                        at: now + OPEN_PATIENCE,
+                    },
+                    ProxyWish::Open {
+                        order: number,
+                        shot,
+                        target,
+                    },
                 ]
             }
             Err(mishap) => self.finish(number, mishap),
@@ -293,7 +351,9 @@
         if carried.shot != shot {
             return Vec::new();
         }
-        let good = self.knowledge.still_good(now, &self.area, &carried.rule, &target);
+        let good = self
+            .knowledge
+            .still_good(now, &self.area, &carried.rule, &target);
         if let Err(mishap) = good {
             if let Some(shard) = self.shards.get_mut(&carried.rule.pool) {
                 shard.end(now, &target, true, None);
@@ -304,10 +364,23 @@
         carried.chart.sent();
         carried.stage = Stage::Sent;
         carried.standing = self.knowledge.books.book(BookName::Standing).edition;
-        vec![ProxyWish::Shoot { order: number, shot, target, further: carried.chart.shots() > 1 }]
+        vec![ProxyWish::Shoot {
+            order: number,
+            shot,
+            target,
+            further: carried.chart.shots() > 1,
+        }]
     }
 
-    pub fn ended(&mut self, now: Duration, number: u64, shot: u32, end: ShotEnd, load: Option<u32>, answered: Option<u64>) -> Vec<ProxyWish> {
+    pub fn ended(
+        &mut self,
+        now: Duration,
+        number: u64,
+        shot: u32,
+        end: ShotEnd,
+        load: Option<u32>,
+        answered: Option<u64>,
+    ) -> Vec<ProxyWish> {
         let Some(carried) = self.carried.get_mut(&number) else {
             return Vec::new();
         };
@@ -318,7 +391,10 @@
             return Vec::new();
         };
         let mut end = end;
-        if end == ShotEnd::Answered && answered != Some(number) && self.broken != BrokenProxy::TakesAnyAnswer {
+        if end == ShotEnd::Answered
+            && answered != Some(number)
+            && self.broken != BrokenProxy::TakesAnyAnswer
+        {
             end = ShotEnd::Garbage;
         }
         let good = matches!(end, ShotEnd::Answered | ShotEnd::RefusedByInstance);
@@ -420,7 +496,11 @@
             area: self.area.clone(),
             address: self.address,
             capacity: self.capacity,
-            state: if self.leaving { InstanceState::Leaving } else { InstanceState::Serving },
+            state: if self.leaving {
+                InstanceState::Leaving
+            } else {
+                InstanceState::Serving
+            },
             load: self.work.len() as u32,
             up: now,
             holding: self.holdings.holding(now),
--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -12,12 +12,18 @@
     Freeze,
     Wake,
     Leave,
+    /// Another instance, of this pool, takes the address over.
+    TakeOver {
+        pool: String,
+    },
     LoseAnswers(u32),
     SendGarbage(u32),
     RefuseOrders(u32),
     RefuseDisk,
     MendDisk,
-    CutOff { one_way: bool },
+    CutOff {
+        one_way: bool,
+    },
     /// Cut off from its kind only.
     Part,
     /// Hears no votes and no news of books, but all else.
@@ -58,7 +64,7 @@
     pub careless_instances: bool,
 }
 
-fn read_act(text: &str, count: u32) -> Option<Act> {
+fn read_act(text: &str, count: u32, pool: &str) -> Option<Act> {
     Some(match text {
         "kill" => Act::Kill,
         "power-off" => Act::PowerOff,
@@ -68,6 +74,9 @@
         "freeze" => Act::Freeze,
         "wake" => Act::Wake,
         "leave" => Act::Leave,
+        "take-over" => Act::TakeOver {
+            pool: pool.to_string(),
+        },
         "lose-answers" => Act::LoseAnswers(count),
         "send-garbage" => Act::SendGarbage(count),
         "refuse-orders" => Act::RefuseOrders(count),
@@ -91,15 +100,31 @@
         let mut wrong = Vec::new();
         let mut fault = |field: String, remedy: String| {
             let file = path.display().to_string();
-            wrong.push(OptionsFault { file, field, remedy });
+            wrong.push(OptionsFault {
+                file,
+                field,
+                remedy,
+            });
         };
         let known = [
-            "deployment", "seconds", "percent", "operator_every_ms", "loss_per_thousand", "swell",
-            "seeds", "faults", "why", "disk_ms", "served_at_least",
+            "deployment",
+            "seconds",
+            "percent",
+            "operator_every_ms",
+            "loss_per_thousand",
+            "swell",
+            "seeds",
+            "faults",
+            "why",
+            "disk_ms",
+            "served_at_least",
         ];
         for (name, _) in value.entries() {
             if !known.contains(&name) {
-                fault(name.to_string(), "is not a known field: remove it".to_string());
+                fault(
+                    name.to_string(),
+                    "is not a known field: remove it".to_string(),
+                );
             }
         }
         let number = |name: &str, otherwise: u64| value[name].as_u64().unwrap_or(otherwise);
@@ -107,7 +132,9 @@
         let mut faults = Vec::new();
         for (place, item) in value["faults"].members().enumerate() {
             let count = item["count"].as_u32().unwrap_or(1);
-            let act = item["act"].as_str().and_then(|text| read_act(text, count));
+            let act = item["act"]
+                .as_str()
+                .and_then(|text| read_act(text, count, item["pool"].as_str().unwrap_or_default()));
             match (item["at_ms"].as_u64(), act) {
                 (Some(at), Some(act)) => faults.push(Harm {
                     at: Duration::from_millis(at),
@@ -115,10 +142,16 @@
                     target: item["target"].as_str().unwrap_or_default().to_string(),
                     big: item["big"].as_bool().unwrap_or(false),
                 }),
-                _ => fault(format!("faults[{place}]"), "give at_ms and a known act".to_string()),
+                _ => fault(
+                    format!("faults[{place}]"),
+                    "give at_ms and a known act".to_string(),
+                ),
             }
         }
-        let seeds: Vec<u64> = value["seeds"].members().filter_map(JsonValue::as_u64).collect();
+        let seeds: Vec<u64> = value["seeds"]
+            .members()
+            .filter_map(JsonValue::as_u64)
+            .collect();
         if seeds.is_empty() {
             fault("seeds".to_string(), "list at least one seed".to_string());
         }
@@ -126,7 +159,10 @@
             return Err(wrong);
         }
         Ok(Self {
-            deployment: value["deployment"].as_str().unwrap_or("tallowgum").to_string(),
+            deployment: value["deployment"]
+                .as_str()
+                .unwrap_or("tallowgum")
+                .to_string(),
             length: Duration::from_secs(seconds),
             percent: number("percent", 20),
             traffic_from: Duration::from_secs(6),
--- a/crates/rehearsal/src/network.rs
+++ b/crates/rehearsal/src/network.rs
@@ -47,7 +47,11 @@
     fn carry_out(&mut self, write: &DiskWrite, length: usize) {
         match write {
             DiskWrite::Slot { second, bytes } => {
-                lay(&mut self.synced.slots[usize::from(*second)], 0, &bytes[..length]);
+                lay(
+                    &mut self.synced.slots[usize::from(*second)],
+                    0,
+                    &bytes[..length],
+                );
             }
             DiskWrite::Log { offset, bytes } => {
                 lay(&mut self.synced.log, *offset as usize, &bytes[..length]);
@@ -57,7 +61,11 @@
 
     /// Syncs everything up to a ticket.
     pub fn sync(&mut self, ticket: u64) {
-        while self.unsynced.front().is_some_and(|(first, _)| *first <= ticket) {
+        while self
+            .unsynced
+            .front()
+            .is_some_and(|(first, _)| *first <= ticket)
+        {
             if let Some((_, writes)) = self.unsynced.pop_front() {
                 for write in writes {
                     let length = write_length(&write);
@@ -74,7 +82,11 @@
 
     /// The power went: a part of what was not synced may be there, cut off anywhere.
     pub fn power_lost(&mut self, chance: &mut Chance) {
-        let writes: Vec<DiskWrite> = self.unsynced.drain(..).flat_map(|(_, writes)| writes).collect();
+        let writes: Vec<DiskWrite> = self
+            .unsynced
+            .drain(..)
+            .flat_map(|(_, writes)| writes)
+            .collect();
         let kept = chance.below(writes.len() as u64 + 1) as usize;
         for (place, write) in writes.iter().enumerate() {
             if place < kept {
--- a/crates/rehearsal/src/observers.rs
+++ b/crates/rehearsal/src/observers.rs
@@ -16,6 +16,7 @@
     RanTwice,
     RanAfterNotRun,
     WrongAnswer,
+    RanForAnother,
     ReachedLeaving,
     OldConfiguration,
     SlippedBack,
@@ -71,6 +72,9 @@
     pub mishaps: BTreeMap<&'static str, u64>,
 }
 
+/// From when to when which instance worked on a slice.
+type Stretch = (Duration, Duration, InstanceId);
+
 #[derive(Default)]
 pub struct Observers {
     pub breaches: Vec<Breach>,
@@ -86,7 +90,7 @@
     closed: HashMap<Area, Duration>,
     pool_shots: HashMap<PoolName, VecDeque<(Duration, bool)>>,
     cold_shots: HashMap<(InstanceId, Incarnation), VecDeque<Duration>>,
-    effects: HashMap<(PoolName, u32), Vec<(Duration, Duration, InstanceId)>>,
+    effects: HashMap<(PoolName, u32), Vec<Stretch>>,
     proxy_editions: HashMap<usize, Edition>,
     /// Served and sent by second, for the recovery line.
     seconds: BTreeMap<u64, (u64, u64)>,
@@ -109,7 +113,11 @@
 impl Observers {
     fn breach(&mut self, line: Line, at: Duration, what: impl Into<String>) {
         if self.breaches.len() < 200 {
-            self.breaches.push(Breach { line, at, what: what.into() });
+            self.breaches.push(Breach {
+                line,
+                at,
+                what: what.into(),
+            });
         }
     }
 
@@ -134,11 +142,31 @@
             self.breach(Line::RanTwice, at, format!("order {order} at {instance}"));
         }
         if self.told.get(&order) == Some(&ToldCaller::NotRun) {
-            self.breach(Line::RanAfterNotRun, at, format!("order {order} at {instance}"));
+            self.breach(
+                Line::RanAfterNotRun,
+                at,
+                format!("order {order} at {instance}"),
+            );
         }
     }
 
-    pub fn told(&mut self, at: Duration, sent_at: Duration, order: u64, told: ToldCaller, answered: Option<u64>) {
+    /// An instance ran an order that was meant for another pool.
+    pub fn ran_for_another(&mut self, at: Duration, order: u64, instance: &InstanceId) {
+        self.breach(
+            Line::RanForAnother,
+            at,
+            format!("order {order} at {instance}"),
+        );
+    }
+
+    pub fn told(
+        &mut self,
+        at: Duration,
+        sent_at: Duration,
+        order: u64,
+        told: ToldCaller,
+        answered: Option<u64>,
+    ) {
         self.told.insert(order, told);
         match told {
             ToldCaller::Served => {
@@ -213,10 +241,16 @@
                 }
             }
         }
-        if reached.rule.home.as_ref().is_some_and(|home| {
-            home != reached.region || home != reached.proxy_region
-        }) {
-            let what = format!("order {} at {} in {}", reached.order, beat.id, reached.region);
+        if reached
+            .rule
+            .home
+            .as_ref()
+            .is_some_and(|home| home != reached.region || home != reached.proxy_region)
+        {
+            let what = format!(
+                "order {} at {} in {}",
+                reached.order, beat.id, reached.region
+            );
             self.breach(Line::LeftHome, at, what);
         }
         self.tally.cross_area += u64::from(beat.area != *reached.proxy_area);
@@ -239,7 +273,14 @@
     }
 
     /// Work on a slice went on at an instance over this stretch of time.
-    pub fn worked_on(&mut self, pool: &PoolName, slice: u32, from: Duration, to: Duration, instance: &InstanceId) {
+    pub fn worked_on(
+        &mut self,
+        pool: &PoolName,
+        slice: u32,
+        from: Duration,
+        to: Duration,
+        instance: &InstanceId,
+    ) {
         let effects = self.effects.entry((pool.clone(), slice)).or_default();
         let clash = effects
             .iter()
@@ -255,12 +296,19 @@
     }
 
     /// Looks at what all live instances believe that they hold.
-    pub fn holdings(&mut self, at: Duration, live: &[(&PoolName, &InstanceId, Vec<u32>, Duration)]) {
+    pub fn holdings(
+        &mut self,
+        at: Duration,
+        live: &[(&PoolName, &InstanceId, Vec<u32>, Duration)],
+    ) {
         let mut holders: HashMap<(&PoolName, u32), &InstanceId> = HashMap::new();
         let mut clashes = Vec::new();
         for (pool, instance, slices, longest) in live {
             if *longest > Duration::from_secs(10) {
-                clashes.push((Line::HoldTooLong, format!("{instance} holds for {longest:?}")));
+                clashes.push((
+                    Line::HoldTooLong,
+                    format!("{instance} holds for {longest:?}"),
+                ));
             }
             for slice in slices {
                 if let Some(other) = holders.insert((pool, *slice), instance) {
@@ -309,7 +357,11 @@
                         }
                     }
                 }
-                self.accepted.push(AcceptedChange { at, edition: *edition, id: change.id.clone() });
+                self.accepted.push(AcceptedChange {
+                    at,
+                    edition: *edition,
+                    id: change.id.clone(),
+                });
             }
             Verdict::Unknown => self.tally.unknown_changes += 1,
             Verdict::NoMajority => {
@@ -329,7 +381,10 @@
     }
 
     pub fn proxy_holds(&mut self, at: Duration, proxy: usize, edition: Edition) {
-        let before = self.proxy_editions.insert(proxy, edition).unwrap_or_default();
+        let before = self
+            .proxy_editions
+            .insert(proxy, edition)
+            .unwrap_or_default();
         if edition < before {
             let what = format!("proxy {proxy} went from {before} to {edition}");
             self.breach(Line::SlippedBack, at, what);
@@ -347,12 +402,18 @@
     /// At day's end: every accepted change must be in the book, whole, and nothing refused.
     pub fn read_back(&mut self, at: Duration, name: &str, book: &Book) {
         for accepted in self.accepted.clone() {
-            let found = book.answered.iter().find(|answered| answered.id == accepted.id);
+            let found = book
+                .answered
+                .iter()
+                .find(|answered| answered.id == accepted.id);
             // Why the count: a book forgets the oldest change ids.
             let forgotten = book.edition.0 > accepted.edition.0 + REMEMBERED_CHANGES as u64 - 1;
             let good = found.is_some_and(|answered| answered.edition == accepted.edition);
             if !good && !forgotten {
-                let what = format!("{name} lacks {} of edition {}", accepted.id, accepted.edition);
+                let what = format!(
+                    "{name} lacks {} of edition {}",
+                    accepted.id, accepted.edition
+                );
                 self.breach(Line::LostChange, at, what);
             }
         }
@@ -364,7 +425,11 @@
             // Why all calls: one that was refused says nothing of another that was accepted.
             let calls = self.calls.get(&answered.id).copied().unwrap_or_default();
             if calls.0 == calls.1 {
-                self.breach(Line::PartApplied, at, format!("{name} holds refused {}", answered.id));
+                self.breach(
+                    Line::PartApplied,
+                    at,
+                    format!("{name} holds refused {}", answered.id),
+                );
             }
             if replayed.weigh(&change) != Standpoint::Fits {
                 let what = format!("{name}: {} does not fit where it stands", answered.id);
@@ -373,7 +438,11 @@
             replayed.apply(&change);
         }
         if book.answered.len() < REMEMBERED_CHANGES && replayed.items != book.items {
-            self.breach(Line::LostChange, at, format!("{name} does not read back intact"));
+            self.breach(
+                Line::LostChange,
+                at,
+                format!("{name} does not read back intact"),
+            );
         }
     }
 
--- a/crates/rehearsal/src/prelude.rs
+++ b/crates/rehearsal/src/prelude.rs
@@ -1,6 +1,5 @@
 //! The one module that each file of this crate imports.
 
-pub use std::cmp::Reverse;
 pub use std::path::{Path, PathBuf};
 
 pub use caperworks::prelude::*;
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -22,9 +22,17 @@
 pub enum Kind {
     Ledger,
     Mentor,
-    Proxy { agent: usize, capacity: u32 },
+    Proxy {
+        agent: usize,
+        capacity: u32,
+    },
     Cuesheet,
-    Instance { pool: PoolName, capacity: u32, work_span: Duration, agents: Vec<usize> },
+    Instance {
+        pool: PoolName,
+        capacity: u32,
+        work_span: Duration,
+        agents: Vec<usize>,
+    },
 }
 
 pub struct Node {
@@ -49,24 +57,77 @@
 #[derive(Debug, Clone)]
 pub enum Happening {
     Tick,
-    Control { envelope: Box<Envelope> },
-    Synced { ticket: u64, well: bool },
-    CallerOrder { order: Order, group: String, locality: Duration },
-    Open { order: u64, shot: u32, proxy: usize, proxy_life: u64, incarnation: Incarnation },
-    Opened { order: u64, shot: u32 },
-    Arrive { order: u64, shot: u32, proxy: usize, proxy_life: u64, target: Box<Target>, rule: Box<Rule>, standing: Edition, need: Duration },
-    Ended { order: u64, shot: u32, end: ShotEnd, answer: Option<InstanceAnswer> },
-    WorkDone { work: usize },
-    OrderWake { order: u64, at: Duration },
-    BeatPost { beat: Box<Beat>, number: u64, instance: usize, instance_life: u64 },
-    BeatAnswered { number: u64, answer: Option<BeatAnswer> },
+    Control {
+        envelope: Box<Envelope>,
+    },
+    Synced {
+        ticket: u64,
+        well: bool,
+    },
+    CallerOrder {
+        order: Order,
+        group: String,
+        locality: Duration,
+    },
+    Open {
+        order: u64,
+        shot: u32,
+        proxy: usize,
+        proxy_life: u64,
+        incarnation: Incarnation,
+    },
+    Opened {
+        order: u64,
+        shot: u32,
+    },
+    Arrive {
+        order: u64,
+        shot: u32,
+        proxy: usize,
+        proxy_life: u64,
+        target: Box<Target>,
+        rule: Box<Rule>,
+        standing: Edition,
+        need: Duration,
+    },
+    Ended {
+        order: u64,
+        shot: u32,
+        end: ShotEnd,
+        answer: Option<InstanceAnswer>,
+    },
+    WorkDone {
+        work: usize,
+    },
+    OrderWake {
+        order: u64,
+        at: Duration,
+    },
+    BeatPost {
+        beat: Box<Beat>,
+        number: u64,
+        instance: usize,
+        instance_life: u64,
+    },
+    BeatAnswered {
+        number: u64,
+        answer: Option<BeatAnswer>,
+    },
 }
 
 enum Event {
-    At { node: usize, life: u64, happening: Happening },
-    Caller { kind: usize },
+    At {
+        node: usize,
+        life: u64,
+        happening: Happening,
+    },
+    Caller {
+        kind: usize,
+    },
     Operator,
-    Fault { place: usize },
+    Fault {
+        place: usize,
+    },
     Observe,
 }
 
@@ -199,7 +260,10 @@
             for number in 1..=scenario.proxies_per_area {
                 let agent = self.add(format!("mentor-{area}-{number}"), area, Kind::Mentor);
                 agents.push(agent);
-                let kind = Kind::Proxy { agent, capacity: scenario.proxy_capacity };
+                let kind = Kind::Proxy {
+                    agent,
+                    capacity: scenario.proxy_capacity,
+                };
                 self.add(format!("playout-{area}-{number}"), area, kind);
             }
         }
@@ -213,7 +277,9 @@
                     pool: PoolName::new(&pool.name),
                     capacity: pool.capacity,
                     work_span: Duration::from_millis(pool.work_ms),
-                    agents: (0..4).map(|turn| agents[(number + turn * 3) % agents.len()]).collect(),
+                    agents: (0..4)
+                        .map(|turn| agents[(number + turn * 3) % agents.len()])
+                        .collect(),
                 };
                 self.add(format!("{}-{}", pool.name, number + 1), area, kind);
             }
@@ -239,7 +305,14 @@
 
     fn push_at(&mut self, node: usize, after: Duration, happening: Happening) {
         let life = self.nodes[node].life;
-        self.push(self.now + after, Event::At { node, life, happening });
+        self.push(
+            self.now + after,
+            Event::At {
+                node,
+                life,
+                happening,
+            },
+        );
     }
 
     /// The node's own monotonic time.
@@ -278,7 +351,8 @@
         if vote && self.network.deaf.contains(&to) {
             return false;
         }
-        if self.network.is_cut(from, to) || (lost && matches!(happening, Happening::Control { .. })) {
+        if self.network.is_cut(from, to) || (lost && matches!(happening, Happening::Control { .. }))
+        {
             return false;
         }
         let delay = self.delay(from, to);
@@ -305,7 +379,11 @@
                 Body::Ledger(Box::new(machine))
             }
             Kind::Mentor => {
-                let options = MentorOptions { control: address, area, seeds };
+                let options = MentorOptions {
+                    control: address,
+                    area,
+                    seeds,
+                };
                 let mut machine = MentorMachine::start(options, seed);
                 if self.day.careless_mentors {
                     machine.be_careless();
@@ -314,36 +392,46 @@
             }
             Kind::Proxy { capacity, .. } => {
                 let broken = self.day.broken_proxy;
-                Body::Proxy(Box::new(SimProxy::new(area, address, *capacity, seed, broken)))
+                Body::Proxy(Box::new(SimProxy::new(
+                    area, address, *capacity, seed, broken,
+                )))
             }
             Kind::Cuesheet => {
-                let options = CuesheetOptions { control: address, serving: address, area, seeds };
-                Body::Cuesheet(Box::new(CuesheetMachine::start(options, seed)))
-            }
-            Kind::Instance { pool, capacity, work_span, agents } => {
-                Body::Instance(Box::new(SimInstance {
-                    id: InstanceId::new(&node.name),
-                    pool: pool.clone(),
+                let options = CuesheetOptions {
+                    control: address,
+                    serving: address,
                     area,
-                    address,
-                    capacity: *capacity,
-                    work_span: *work_span,
-                    incarnation: Incarnation(node.life + 1),
-                    counter: 0,
-                    leaving: false,
-                    holdings: Holdings::default(),
-                    agents: agents.clone(),
-                    agent: 0,
-                    next_beat: Duration::ZERO,
-                    beat_sent: HashMap::new(),
-                    unheard: 0,
-                    work: Slab::new(),
-                    loses_answers: 0,
-                    sends_garbage: 0,
-                    refuses: 0,
-                    careless: self.day.careless_instances,
-                }))
+                    seeds,
+                };
+                Body::Cuesheet(Box::new(CuesheetMachine::start(options, seed)))
             }
+            Kind::Instance {
+                pool,
+                capacity,
+                work_span,
+                agents,
+            } => Body::Instance(Box::new(SimInstance {
+                id: InstanceId::new(&node.name),
+                pool: pool.clone(),
+                area,
+                address,
+                capacity: *capacity,
+                work_span: *work_span,
+                incarnation: Incarnation(node.life + 1),
+                counter: 0,
+                leaving: false,
+                holdings: Holdings::default(),
+                agents: agents.clone(),
+                agent: 0,
+                next_beat: Duration::ZERO,
+                beat_sent: HashMap::new(),
+                unheard: 0,
+                work: Slab::new(),
+                loses_answers: 0,
+                sends_garbage: 0,
+                refuses: 0,
+                careless: self.day.careless_instances,
+            })),
         };
         let now = self.now;
         let node = &mut self.nodes[place];
@@ -385,7 +473,12 @@
                 for (_, work) in &instance.work {
                     if self.nodes[work.proxy].life == work.proxy_life {
                         let (order, shot) = (work.order, work.shot);
-                        let ended = Happening::Ended { order, shot, end: ShotEnd::Lost, answer: None };
+                        let ended = Happening::Ended {
+                            order,
+                            shot,
+                            end: ShotEnd::Lost,
+                            answer: None,
+                        };
                         self.send(place, work.proxy, ended);
                     }
                 }
@@ -393,7 +486,13 @@
             Body::Proxy(proxy) => {
                 for carried in proxy.carried.into_values() {
                     let order = carried.order;
-                    self.observers.told(self.now, order.sent_at, order.number, ToldCaller::Unknown, None);
+                    self.observers.told(
+                        self.now,
+                        order.sent_at,
+                        order.number,
+                        ToldCaller::Unknown,
+                        None,
+                    );
                 }
             }
             _ => {}
@@ -409,7 +508,11 @@
             }
             self.now = queued.at;
             match queued.event {
-                Event::At { node, life, happening } => self.happen(node, life, happening),
+                Event::At {
+                    node,
+                    life,
+                    happening,
+                } => self.happen(node, life, happening),
                 Event::Caller { kind } => self.caller(kind),
                 Event::Operator => self.operator(),
                 Event::Fault { place } => {
@@ -446,16 +549,29 @@
 
     fn reset(&mut self, place: usize, happening: &Happening) {
         let (order, shot, proxy, proxy_life, end) = match happening {
-            Happening::Open { order, shot, proxy, proxy_life, .. } => {
-                (*order, *shot, *proxy, *proxy_life, ShotEnd::NotOpened)
-            }
-            Happening::Arrive { order, shot, proxy, proxy_life, .. } => {
-                (*order, *shot, *proxy, *proxy_life, ShotEnd::Lost)
-            }
+            Happening::Open {
+                order,
+                shot,
+                proxy,
+                proxy_life,
+                ..
+            } => (*order, *shot, *proxy, *proxy_life, ShotEnd::NotOpened),
+            Happening::Arrive {
+                order,
+                shot,
+                proxy,
+                proxy_life,
+                ..
+            } => (*order, *shot, *proxy, *proxy_life, ShotEnd::Lost),
             _ => return,
         };
         if self.nodes[proxy].life == proxy_life {
-            let ended = Happening::Ended { order, shot, end, answer: None };
+            let ended = Happening::Ended {
+                order,
+                shot,
+                end,
+                answer: None,
+            };
             self.send(place, proxy, ended);
         }
     }
@@ -479,43 +595,72 @@
                                 self.observers.heard_leaving(self.now, &heard.beat);
                             }
                         }
-                        Some(LedgerInput::Heard { envelope: *envelope })
+                        Some(LedgerInput::Heard {
+                            envelope: *envelope,
+                        })
                     }
                     Happening::Synced { ticket, well: true } => {
                         self.nodes[place].disk.sync(ticket);
                         Some(LedgerInput::Synced { ticket })
                     }
-                    Happening::Synced { ticket, well: false } => Some(LedgerInput::WriteFailed { ticket }),
+                    Happening::Synced {
+                        ticket,
+                        well: false,
+                    } => Some(LedgerInput::WriteFailed { ticket }),
                     _ => None,
                 };
-                let outputs = input.map(|input| machine.input(local, input)).unwrap_or_default();
+                let outputs = input
+                    .map(|input| machine.input(local, input))
+                    .unwrap_or_default();
                 self.nodes[place].body = Some(body);
                 self.act_ledger(place, outputs);
             }
             Body::Mentor(machine) => {
                 let input = match happening {
                     Happening::Tick => Some(MentorInput::Tick),
-                    Happening::Control { envelope } => Some(MentorInput::Heard { envelope: *envelope }),
-                    Happening::BeatPost { beat, number, instance, instance_life } => {
+                    Happening::Control { envelope } => Some(MentorInput::Heard {
+                        envelope: *envelope,
+                    }),
+                    Happening::BeatPost {
+                        beat,
+                        number,
+                        instance,
+                        instance_life,
+                    } => {
                         self.next_ticket += 1;
                         let ticket = self.next_ticket;
-                        let owed = BeatTicket { instance, instance_life, number };
+                        let owed = BeatTicket {
+                            instance,
+                            instance_life,
+                            number,
+                        };
                         self.tickets.insert((place, ticket), owed);
-                        Some(MentorInput::Beat { ticket, beat: *beat })
+                        Some(MentorInput::Beat {
+                            ticket,
+                            beat: *beat,
+                        })
                     }
                     _ => None,
                 };
-                let outputs = input.map(|input| machine.input(local, input)).unwrap_or_default();
+                let outputs = input
+                    .map(|input| machine.input(local, input))
+                    .unwrap_or_default();
                 let from = machine.node();
                 self.nodes[place].body = Some(body);
                 for output in outputs {
                     match output {
-                        MentorOutput::Send { to, message } => self.send_control(place, from, to, message),
+                        MentorOutput::Send { to, message } => {
+                            self.send_control(place, from, to, message)
+                        }
                         MentorOutput::AnswerBeat { ticket, answer } => {
                             if let Some(owed) = self.tickets.remove(&(place, ticket)) {
                                 if self.nodes[owed.instance].life == owed.instance_life {
                                     let number = owed.number;
-                                    self.send(place, owed.instance, Happening::BeatAnswered { number, answer });
+                                    self.send(
+                                        place,
+                                        owed.instance,
+                                        Happening::BeatAnswered { number, answer },
+                                    );
                                 }
                             }
                         }
@@ -526,10 +671,14 @@
             Body::Cuesheet(machine) => {
                 let input = match happening {
                     Happening::Tick => Some(CuesheetInput::Tick),
-                    Happening::Control { envelope } => Some(CuesheetInput::Heard { envelope: *envelope }),
+                    Happening::Control { envelope } => Some(CuesheetInput::Heard {
+                        envelope: *envelope,
+                    }),
                     _ => None,
                 };
-                let outputs = input.map(|input| machine.input(local, input)).unwrap_or_default();
+                let outputs = input
+                    .map(|input| machine.input(local, input))
+                    .unwrap_or_default();
                 let from = machine.node();
                 self.nodes[place].body = Some(body);
                 for output in outputs {
@@ -549,15 +698,28 @@
                         }
                         Vec::new()
                     }
-                    Happening::CallerOrder { order, group, locality } => {
-                        proxy.receive(local, order, group, locality)
-                    }
+                    Happening::CallerOrder {
+                        order,
+                        group,
+                        locality,
+                    } => proxy.receive(local, order, group, locality),
                     Happening::Opened { order, shot } => proxy.opened(local, order, shot),
-                    Happening::Ended { order, shot, end, answer } => {
+                    Happening::Ended {
+                        order,
+                        shot,
+                        end,
+                        answer,
+                    } => {
                         let (end, load, answered) = match answer {
-                            Some(InstanceAnswer::Ran { order, load }) => (end, Some(load), Some(order)),
-                            Some(InstanceAnswer::NotRun) => (ShotEnd::RefusedByInstance, None, None),
-                            Some(InstanceAnswer::Garbage) => (end, None, Some(order + 1_000_000_000)),
+                            Some(InstanceAnswer::Ran { order, load }) => {
+                                (end, Some(load), Some(order))
+                            }
+                            Some(InstanceAnswer::NotRun) => {
+                                (ShotEnd::RefusedByInstance, None, None)
+                            }
+                            Some(InstanceAnswer::Garbage) => {
+                                (end, None, Some(order + 1_000_000_000))
+                            }
                             None => (end, None, None),
                         };
                         proxy.ended(local, order, shot, end, load, answered)
@@ -631,7 +793,8 @@
             }
             Verdict::Conflicts(conflicts) => {
                 for conflict in conflicts {
-                    self.known_editions.insert(conflict.key.clone(), conflict.present);
+                    self.known_editions
+                        .insert(conflict.key.clone(), conflict.present);
                 }
             }
             _ => {}
@@ -651,13 +814,28 @@
                     let after = self.after_local(place, at);
                     self.push_at(place, after, Happening::OrderWake { order, at });
                 }
-                ProxyWish::Answer { order, told, answered, mishap } => {
+                ProxyWish::Answer {
+                    order,
+                    told,
+                    answered,
+                    mishap,
+                } => {
                     if let Some(mishap) = mishap {
-                        *self.observers.tally.mishaps.entry(mishap.word()).or_default() += 1;
+                        *self
+                            .observers
+                            .tally
+                            .mishaps
+                            .entry(mishap.word())
+                            .or_default() += 1;
                     }
-                    self.observers.told(self.now, order.sent_at, order.number, told, answered);
+                    self.observers
+                        .told(self.now, order.sent_at, order.number, told, answered);
                 }
-                ProxyWish::Open { order, shot, target } => {
+                ProxyWish::Open {
+                    order,
+                    shot,
+                    target,
+                } => {
                     if let Some(to) = self.by_address.get(&target.address).copied() {
                         let open = Happening::Open {
                             order,
@@ -669,7 +847,12 @@
                         self.send(place, to, open);
                     }
                 }
-                ProxyWish::Shoot { order, shot, target, further } => {
+                ProxyWish::Shoot {
+                    order,
+                    shot,
+                    target,
+                    further,
+                } => {
                     let local = self.local(place);
                     let Some(Body::Proxy(proxy)) = &self.nodes[place].body else {
                         continue;
@@ -698,7 +881,14 @@
         }
     }
 
-    fn act_instance(&mut self, place: usize, life: u64, local: Duration, instance: &mut SimInstance, happening: Happening) -> Vec<(usize, Happening)> {
+    fn act_instance(
+        &mut self,
+        place: usize,
+        life: u64,
+        local: Duration,
+        instance: &mut SimInstance,
+        happening: Happening,
+    ) -> Vec<(usize, Happening)> {
         let mut sends = Vec::new();
         match happening {
             Happening::Tick if local >= instance.next_beat => {
@@ -714,7 +904,15 @@
                 let number = beat.counter;
                 instance.beat_sent.insert(number, local);
                 let to = instance.agents[instance.agent];
-                sends.push((to, Happening::BeatPost { beat, number, instance: place, instance_life: life }));
+                sends.push((
+                    to,
+                    Happening::BeatPost {
+                        beat,
+                        number,
+                        instance: place,
+                        instance_life: life,
+                    },
+                ));
             }
             Happening::BeatAnswered { number, answer } => {
                 if let Some(sent) = instance.beat_sent.remove(&number) {
@@ -724,25 +922,51 @@
                     }
                 }
             }
-            Happening::Open { order, shot, proxy, proxy_life, .. } => {
-                if self.nodes[proxy].life == proxy_life {
-                    sends.push((proxy, Happening::Opened { order, shot }));
-                }
+            Happening::Open {
+                order,
+                shot,
+                proxy,
+                proxy_life,
+                ..
+            } if self.nodes[proxy].life == proxy_life => {
+                sends.push((proxy, Happening::Opened { order, shot }));
             }
-            Happening::Arrive { order, shot, proxy, proxy_life, target, rule, standing, need } => {
-                let beat = Beat { counter: 0, ..instance.clone_beat(local) };
+            Happening::Arrive {
+                order,
+                shot,
+                proxy,
+                proxy_life,
+                target,
+                rule,
+                standing,
+                need,
+            } => {
+                let beat = Beat {
+                    counter: 0,
+                    ..instance.clone_beat(local)
+                };
                 self.note_reached(order, &beat, proxy, &rule, standing);
-                let ours = target.instance == instance.id && target.incarnation == instance.incarnation;
-                let held = target
-                    .slice
-                    .is_none_or(|(slice, epoch)| instance.holdings.may_start(local, slice, epoch, need));
+                let ours =
+                    target.instance == instance.id && target.incarnation == instance.incarnation;
+                let held = target.slice.is_none_or(|(slice, epoch)| {
+                    instance.holdings.may_start(local, slice, epoch, need)
+                });
                 let refuses = instance.refuses > 0;
                 instance.refuses = instance.refuses.saturating_sub(1);
-                if refuses || (!(ours && held) && !instance.careless) {
+                let fits = instance.careless || (ours && held);
+                if refuses || !fits {
                     if self.nodes[proxy].life == proxy_life {
                         let answer = Some(InstanceAnswer::NotRun);
                         let end = ShotEnd::RefusedByInstance;
-                        sends.push((proxy, Happening::Ended { order, shot, end, answer }));
+                        sends.push((
+                            proxy,
+                            Happening::Ended {
+                                order,
+                                shot,
+                                end,
+                                answer,
+                            },
+                        ));
                     }
                     return sends;
                 }
@@ -759,7 +983,8 @@
                     from: self.now,
                 });
                 let busy = 1 + instance.work.len() as u32 / 8;
-                let span = instance.work_span * busy + Duration::from_micros(self.chance.below(2000));
+                let span =
+                    instance.work_span * busy + Duration::from_micros(self.chance.below(2000));
                 self.push_at(place, span, Happening::WorkDone { work });
             }
             Happening::WorkDone { work } => {
@@ -767,7 +992,9 @@
                     return sends;
                 };
                 let still = done.slice.is_none_or(|(slice, epoch)| {
-                    instance.holdings.may_start(local, slice, epoch, Duration::ZERO)
+                    instance
+                        .holdings
+                        .may_start(local, slice, epoch, Duration::ZERO)
                 });
                 if let Some((slice, _)) = done.slice {
                     instance.holdings.ended(slice);
@@ -775,8 +1002,18 @@
                 let mut answer = Some(InstanceAnswer::NotRun);
                 if still || instance.careless {
                     self.observers.ran(self.now, done.order, &instance.id);
+                    if done.pool != instance.pool {
+                        self.observers
+                            .ran_for_another(self.now, done.order, &instance.id);
+                    }
                     if let Some((slice, _)) = done.slice {
-                        self.observers.worked_on(&done.pool, slice, done.from, self.now, &instance.id);
+                        self.observers.worked_on(
+                            &done.pool,
+                            slice,
+                            done.from,
+                            self.now,
+                            &instance.id,
+                        );
                     }
                     answer = Some(InstanceAnswer::Ran {
                         order: done.order,
@@ -790,10 +1027,22 @@
                         answer = Some(InstanceAnswer::Garbage);
                     }
                 }
-                let end = if answer.is_some() { ShotEnd::Answered } else { ShotEnd::Lost };
+                let end = if answer.is_some() {
+                    ShotEnd::Answered
+                } else {
+                    ShotEnd::Lost
+                };
                 if self.nodes[done.proxy].life == done.proxy_life {
                     let (order, shot) = (done.order, done.shot);
-                    sends.push((done.proxy, Happening::Ended { order, shot, end, answer }));
+                    sends.push((
+                        done.proxy,
+                        Happening::Ended {
+                            order,
+                            shot,
+                            end,
+                            answer,
+                        },
+                    ));
                 }
             }
             _ => {}
@@ -801,8 +1050,20 @@
         sends
     }
 
-    fn note_reached(&mut self, order: u64, beat: &Beat, proxy: usize, rule: &Rule, standing: Edition) {
-        let Some(plan) = self.scenario.pools.iter().find(|pool| pool.name == beat.pool.as_str()) else {
+    fn note_reached(
+        &mut self,
+        order: u64,
+        beat: &Beat,
+        proxy: usize,
+        rule: &Rule,
+        standing: Edition,
+    ) {
+        let Some(plan) = self
+            .scenario
+            .pools
+            .iter()
+            .find(|pool| pool.name == beat.pool.as_str())
+        else {
             return;
         };
         let pool = Pool {
@@ -821,10 +1082,13 @@
             .rules
             .members()
             .find(|known| known["rule"]["path"].as_str() == Some(&rule.path))
-            .map_or_else(|| rule.clone(), |known| Rule {
-                home: known["rule"]["home"].as_str().map(Region::new),
-                ..rule.clone()
-            });
+            .map_or_else(
+                || rule.clone(),
+                |known| Rule {
+                    home: known["rule"]["home"].as_str().map(Region::new),
+                    ..rule.clone()
+                },
+            );
         let reached = Reached {
             order,
             instance: beat,
@@ -887,7 +1151,8 @@
         let group = self.chance.below(12) as u8;
         let client = IpAddr::from([127, 10, group, 1]);
         // Why by group: each group of callers sits near one area.
-        let home = Area::new(&self.scenario.areas[usize::from(group) % self.scenario.areas.len()].0);
+        let home =
+            Area::new(&self.scenario.areas[usize::from(group) % self.scenario.areas.len()].0);
         let write = traffic.method != "GET";
         self.observers.sent(self.now, number, write);
         // Why some without a directory: callers hold on to addresses, and what must never happen
@@ -933,7 +1198,11 @@
                     self.scenario.region_distance + Duration::from_millis(4)
                 };
                 let group = group_of(client);
-                let happening = Happening::CallerOrder { order, group, locality: distance };
+                let happening = Happening::CallerOrder {
+                    order,
+                    group,
+                    locality: distance,
+                };
                 self.push_at(place, distance / 2, happening);
                 return;
             }
@@ -985,7 +1254,10 @@
                         key: format!("area/part-{number}"),
                         expected: None,
                         value: Some(Value::Area {
-                            area: AreaOrder { region: Region::new("east"), closed: false },
+                            area: AreaOrder {
+                                region: Region::new("east"),
+                                closed: false,
+                            },
                         }),
                     });
                     self.call_any(change);
@@ -1019,7 +1291,11 @@
                     })
                     .collect();
                 let id = ChangeId::new(format!("swell-{number}"));
-                self.call_any(Change { id, puts, guards: Vec::new() });
+                self.call_any(Change {
+                    id,
+                    puts,
+                    guards: Vec::new(),
+                });
             }
             _ => {
                 if let Ok(change) = make(format!("tweak-{number}"), &put) {
@@ -1071,7 +1347,9 @@
             .filter(|place| {
                 let node = &self.nodes[*place];
                 let program = node.name.split('-').next().unwrap_or_default();
-                node.name == name || program == name || node.area.as_str() == name
+                node.name == name
+                    || program == name
+                    || node.area.as_str() == name
                     || (name == "holder" && self.is_holder(*place))
             })
             .collect()
@@ -1081,7 +1359,9 @@
         match &self.nodes[place].body {
             Some(Body::Ledger(machine)) => {
                 let cohort = machine.board.book(BookName::Cohort);
-                cohort.duty(TENURE).is_some_and(|term| term.holder == machine.node())
+                cohort
+                    .duty(TENURE)
+                    .is_some_and(|term| term.holder == machine.node())
             }
             _ => false,
         }
@@ -1128,6 +1408,17 @@
                     }
                 }
             }
+            Act::TakeOver { pool } => {
+                for place in places {
+                    self.end(place, false);
+                    let node = &mut self.nodes[place];
+                    node.name = format!("{}-again", node.name);
+                    if let Kind::Instance { pool: served, .. } = &mut node.kind {
+                        *served = PoolName::new(pool);
+                    }
+                    self.start(place);
+                }
+            }
             Act::LoseAnswers(count) => {
                 for place in places {
                     if let Some(Body::Instance(instance)) = &mut self.nodes[place].body {
@@ -1149,28 +1440,50 @@
                     }
                 }
             }
-            Act::RefuseDisk => places.iter().for_each(|place| self.nodes[*place].disk.refuses = true),
-            Act::MendDisk => places.iter().for_each(|place| self.nodes[*place].disk.refuses = false),
+            Act::RefuseDisk => places
+                .iter()
+                .for_each(|place| self.nodes[*place].disk.refuses = true),
+            Act::MendDisk => places
+                .iter()
+                .for_each(|place| self.nodes[*place].disk.refuses = false),
             Act::CutOff { one_way } => {
                 let inside: BTreeSet<usize> = places.into_iter().collect();
-                let outside: BTreeSet<usize> =
-                    (0..self.nodes.len()).filter(|place| !inside.contains(place)).collect();
-                self.network.cuts.push(Cut { from: inside.clone(), to: outside.clone() });
+                let outside: BTreeSet<usize> = (0..self.nodes.len())
+                    .filter(|place| !inside.contains(place))
+                    .collect();
+                self.network.cuts.push(Cut {
+                    from: inside.clone(),
+                    to: outside.clone(),
+                });
                 if !one_way {
-                    self.network.cuts.push(Cut { from: outside, to: inside });
+                    self.network.cuts.push(Cut {
+                        from: outside,
+                        to: inside,
+                    });
                 }
             }
             Act::Part => {
                 for place in places {
-                    let program = self.nodes[place].name.split('-').next().unwrap_or_default().to_string();
+                    let program = self.nodes[place]
+                        .name
+                        .split('-')
+                        .next()
+                        .unwrap_or_default()
+                        .to_string();
                     let kind: BTreeSet<usize> = self
                         .targets(&program)
                         .into_iter()
                         .filter(|other| *other != place)
                         .collect();
                     let alone = BTreeSet::from([place]);
-                    self.network.cuts.push(Cut { from: alone.clone(), to: kind.clone() });
-                    self.network.cuts.push(Cut { from: kind, to: alone });
+                    self.network.cuts.push(Cut {
+                        from: alone.clone(),
+                        to: kind.clone(),
+                    });
+                    self.network.cuts.push(Cut {
+                        from: kind,
+                        to: alone,
+                    });
                 }
             }
             Act::Deafen => self.network.deaf.extend(places),
@@ -1208,7 +1521,9 @@
             puts: vec![Put {
                 key: format!("area/{name}"),
                 expected: None,
-                value: Some(Value::Area { area: AreaOrder { region, closed } }),
+                value: Some(Value::Area {
+                    area: AreaOrder { region, closed },
+                }),
             }],
             guards: Vec::new(),
         };
--- a/crates/rehearsal/tests/days.rs
+++ b/crates/rehearsal/tests/days.rs
@@ -11,13 +11,19 @@
         let tally = &observers.tally;
         println!("seed {seed}: {tally:?}");
         if tally.served * 100 < tally.sent * day.served_at_least {
-            failures.push(format!("seed {seed}: only {} of {} served", tally.served, tally.sent));
+            failures.push(format!(
+                "seed {seed}: only {} of {} served",
+                tally.served, tally.sent
+            ));
         }
         if tally.accepted == 0 {
             failures.push(format!("seed {seed}: no change was accepted"));
         }
         for breach in observers.breaches.iter().take(5) {
-            failures.push(format!("seed {seed}: {:?} at {:?}: {}", breach.line, breach.at, breach.what));
+            failures.push(format!(
+                "seed {seed}: {:?} at {:?}: {}",
+                breach.line, breach.at, breach.what
+            ));
         }
     }
     if failures.is_empty() {
--- a/crates/rehearsal/tests/observers.rs
+++ b/crates/rehearsal/tests/observers.rs
@@ -26,12 +26,16 @@
 
 #[test]
 fn given_proxies_that_repeat_writes_when_answers_are_lost_then_running_twice_is_seen() {
-    is_caught("instances", Line::RanTwice, |day| day.broken_proxy = BrokenProxy::RepeatsWrites);
+    is_caught("instances", Line::RanTwice, |day| {
+        day.broken_proxy = BrokenProxy::RepeatsWrites
+    });
 }
 
 #[test]
 fn given_proxies_that_say_not_run_when_answers_are_lost_then_it_is_seen() {
-    is_caught("instances", Line::RanAfterNotRun, |day| day.broken_proxy = BrokenProxy::SaysNotRun);
+    is_caught("instances", Line::RanAfterNotRun, |day| {
+        day.broken_proxy = BrokenProxy::SaysNotRun
+    });
 }
 
 #[test]
@@ -57,7 +61,9 @@
 
 #[test]
 fn given_careless_permits_when_a_ledger_hears_no_news_then_old_orders_are_seen() {
-    is_caught("deaf-ledger", Line::OldConfiguration, |day| day.careless_mentors = true);
+    is_caught("deaf-ledger", Line::OldConfiguration, |day| {
+        day.careless_mentors = true
+    });
 }
 
 #[test]
@@ -76,22 +82,30 @@
 
 #[test]
 fn given_proxies_without_a_budget_when_instances_refuse_then_too_many_retries_are_seen() {
-    is_caught("storm", Line::TooManyRetries, |day| day.broken_proxy = BrokenProxy::NoBudget);
+    is_caught("storm", Line::TooManyRetries, |day| {
+        day.broken_proxy = BrokenProxy::NoBudget
+    });
 }
 
 #[test]
 fn given_proxies_that_each_use_the_whole_gentle_rate_when_instances_are_cold_then_it_is_seen() {
-    is_caught("cold", Line::ColdFlooded, |day| day.broken_proxy = BrokenProxy::WholeGentleRate);
+    is_caught("cold", Line::ColdFlooded, |day| {
+        day.broken_proxy = BrokenProxy::WholeGentleRate
+    });
 }
 
 #[test]
 fn given_proxies_that_ignore_the_home_region_when_any_order_is_sent_then_it_is_seen() {
-    is_caught("areas-emptied", Line::LeftHome, |day| day.broken_proxy = BrokenProxy::IgnoresHome);
+    is_caught("areas-emptied", Line::LeftHome, |day| {
+        day.broken_proxy = BrokenProxy::IgnoresHome
+    });
 }
 
 #[test]
 fn given_proxies_that_go_back_when_time_passes_then_slipping_is_seen() {
-    is_caught("quiet", Line::SlippedBack, |day| day.broken_proxy = BrokenProxy::GoesBack);
+    is_caught("quiet", Line::SlippedBack, |day| {
+        day.broken_proxy = BrokenProxy::GoesBack
+    });
 }
 
 #[test]
@@ -111,7 +125,9 @@
 
 #[test]
 fn given_a_hasty_keeper_when_owners_are_cut_off_then_two_owners_are_seen() {
-    is_caught("cut-off-machines", Line::TwoOwners, |day| day.broken_ledger = Broken::HastyKeeper);
+    is_caught("cut-off-machines", Line::TwoOwners, |day| {
+        day.broken_ledger = Broken::HastyKeeper
+    });
 }
 
 #[test]
@@ -120,3 +136,11 @@
         day.faults.retain(|harm| harm.act != Act::Start);
     });
 }
+
+#[test]
+fn given_instances_that_do_not_look_whom_an_order_is_for_when_an_address_is_taken_over_then_it_is_seen(
+) {
+    is_caught("take-over", Line::RanForAnother, |day| {
+        day.careless_instances = true
+    });
+}
--- a/crates/toolroom/src/circuits.rs
+++ b/crates/toolroom/src/circuits.rs
@@ -11,11 +11,14 @@
 const WRITE_PATIENCE: Duration = Duration::from_millis(1500);
 const IDLE_SPAN: Duration = Duration::from_secs(30);
 
+/// The frames on their way to one address.
+type Way = mpsc::Sender<Arc<Vec<u8>>>;
+
 #[derive(Clone)]
 pub struct ControlPort {
     node: NodeId,
     own: SocketAddr,
-    ways: Arc<Mutex<HashMap<SocketAddr, mpsc::Sender<Arc<Vec<u8>>>>>>,
+    ways: Arc<Mutex<HashMap<SocketAddr, Way>>>,
 }
 
 impl ControlPort {
--- a/crates/toolroom/src/disk.rs
+++ b/crates/toolroom/src/disk.rs
@@ -43,7 +43,10 @@
             .with_context(|| format!("cannot make the data folder {}", folder.display()))?;
         let lock = File::create(folder.join("lock"))?;
         if lock.try_lock().is_err() {
-            bail!("the data folder {} is in use by another process", folder.display());
+            bail!(
+                "the data folder {} is in use by another process",
+                folder.display()
+            );
         }
         let opened = Self {
             slots: [
--- a/crates/toolroom/src/events.rs
+++ b/crates/toolroom/src/events.rs
@@ -60,7 +60,13 @@
     flexi_logger::Logger::try_with_env_or_str("info")?
         .log_to_stderr()
         .format(|writer, now, record| {
-            write!(writer, "{} {} {}", now.format_rfc3339(), record.level(), record.args())
+            write!(
+                writer,
+                "{} {} {}",
+                now.format_rfc3339(),
+                record.level(),
+                record.args()
+            )
         })
         .start()?;
     Ok(())
@@ -81,8 +87,13 @@
             assert!(page.contains(&row), "docs/events.md lacks the row {row}");
         }
         let rows = page.lines().filter(|line| {
-            line.trim_start_matches("| ").starts_with(|sign: char| sign.is_ascii_digit())
+            line.trim_start_matches("| ")
+                .starts_with(|sign: char| sign.is_ascii_digit())
         });
-        assert_eq!(rows.count(), CATALOGUE.len(), "docs/events.md has rows of no event");
+        assert_eq!(
+            rows.count(),
+            CATALOGUE.len(),
+            "docs/events.md has rows of no event"
+        );
     }
 }
--- a/crates/toolroom/src/http.rs
+++ b/crates/toolroom/src/http.rs
@@ -207,7 +207,9 @@
         for (name, value) in &self.headers {
             order = order.header(name, value);
         }
-        let answer = sender.send_request(order.body(Full::new(self.body))?).await?;
+        let answer = sender
+            .send_request(order.body(Full::new(self.body))?)
+            .await?;
         let (head, body) = answer.into_parts();
         let body = body.collect().await?.to_bytes();
         Ok(Fetched {
--- a/crates/toolroom/src/options.rs
+++ b/crates/toolroom/src/options.rs
@@ -77,7 +77,15 @@
         .help("Orders a second that this proxy is meant to carry")
         .argument::<u32>("NUMBER")
         .optional();
-    construct!(PlaceFlags { file, control, serving, area, seeds, data, capacity })
+    construct!(PlaceFlags {
+        file,
+        control,
+        serving,
+        area,
+        seeds,
+        data,
+        capacity
+    })
 }
 
 /// A process's place, checked.
@@ -95,15 +103,7 @@
 }
 
 const KNOWN: [&str; 9] = [
-    "control",
-    "serving",
-    "area",
-    "seeds",
-    "data",
-    "slot_mb",
-    "log_mb",
-    "capacity",
-    "agent",
+    "control", "serving", "area", "seeds", "data", "slot_mb", "log_mb", "capacity", "agent",
 ];
 
 /// Reads a JSON file of the operator's.
@@ -113,8 +113,11 @@
         field: "file".to_string(),
         remedy,
     };
-    let text = std::fs::read_to_string(path)
-        .map_err(|mishap| fault(format!("cannot be read ({mishap}): give a file that exists")))?;
+    let text = std::fs::read_to_string(path).map_err(|mishap| {
+        fault(format!(
+            "cannot be read ({mishap}): give a file that exists"
+        ))
+    })?;
     jzon::parse(&text).map_err(|mishap| fault(format!("is no JSON ({mishap}): correct it")))
 }
 
@@ -177,8 +180,10 @@
         if given_seeds.is_empty() {
             match &value["seeds"] {
                 JsonValue::Null => {}
-                JsonValue::Array(list) => given_seeds
-                    .extend(list.iter().map(|seed| seed.as_str().unwrap_or("?").to_string())),
+                JsonValue::Array(list) => given_seeds.extend(
+                    list.iter()
+                        .map(|seed| seed.as_str().unwrap_or("?").to_string()),
+                ),
                 _ => fault("seeds", "must be a list of addresses"),
             }
         }
@@ -190,7 +195,10 @@
             }
         }
         if seeds.is_empty() && needs.contains(&"seeds") {
-            fault("seeds", "are missing: give the control addresses of three ledgers");
+            fault(
+                "seeds",
+                "are missing: give the control addresses of three ledgers",
+            );
         }
         let data = flags
             .data
--- a/crates/toolroom/src/prelude.rs
+++ b/crates/toolroom/src/prelude.rs
@@ -34,5 +34,7 @@
 ///
 /// Why go on after a panic elsewhere: a broken invariant stops the process by itself.
 pub fn locked<Inner>(mutex: &Mutex<Inner>) -> MutexGuard<'_, Inner> {
-    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    mutex
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
 }
--- a/crates/toolroom/src/scenario.rs
+++ b/crates/toolroom/src/scenario.rs
@@ -74,8 +74,15 @@
                 (text("name"), text("region"))
             })
             .collect();
-        if areas.is_empty() || areas.iter().any(|(name, region)| name.is_empty() || region.is_empty()) {
-            fault("areas".to_string(), "list at least one, each with name and region");
+        if areas.is_empty()
+            || areas
+                .iter()
+                .any(|(name, region)| name.is_empty() || region.is_empty())
+        {
+            fault(
+                "areas".to_string(),
+                "list at least one, each with name and region",
+            );
         }
         let mut placed = |field: &str, least: usize| -> Vec<String> {
             let list: Vec<String> = value[field]
@@ -83,20 +90,25 @@
                 .map(|name| name.as_str().unwrap_or_default().to_string())
                 .collect();
             if list.len() < least {
-                fault(field.to_string(), &format!("list at least {least} area names"));
+                fault(
+                    field.to_string(),
+                    &format!("list at least {least} area names"),
+                );
             }
             for name in &list {
                 if !areas.iter().any(|(area, _)| area == name) {
-                    fault(field.to_string(), &format!("{name} is not one of the areas"));
+                    fault(
+                        field.to_string(),
+                        &format!("{name} is not one of the areas"),
+                    );
                 }
             }
             list
         };
         let ledgers = placed("ledgers", 3);
         let directories = placed("directories", 1);
-        let number = |item: &JsonValue, name: &str, otherwise: u32| {
-            item[name].as_u32().unwrap_or(otherwise)
-        };
+        let number =
+            |item: &JsonValue, name: &str, otherwise: u32| item[name].as_u32().unwrap_or(otherwise);
         let pools: Vec<PoolPlan> = value["pools"]
             .members()
             .map(|pool| PoolPlan {
@@ -109,7 +121,10 @@
             .collect();
         for (place, pool) in pools.iter().enumerate() {
             if pool.name.is_empty() || pool.instances == 0 {
-                fault(format!("pools[{place}]"), "give a name and at least one instance");
+                fault(
+                    format!("pools[{place}]"),
+                    "give a name and at least one instance",
+                );
             }
         }
         if value["rules"].is_empty() || !value["rules"].is_array() {
@@ -118,7 +133,12 @@
         let mut traffic = Vec::new();
         for (place, item) in value["traffic"].members().enumerate() {
             let method = item["method"].as_str().and_then(|text| text.parse().ok());
-            match (item["host"].as_str(), item["path"].as_str(), method, item["per_second"].as_u64()) {
+            match (
+                item["host"].as_str(),
+                item["path"].as_str(),
+                method,
+                item["per_second"].as_u64(),
+            ) {
                 (Some(host), Some(path), Some(method), Some(per_second)) => traffic.push(Traffic {
                     host: host.to_string(),
                     path: path.to_string(),
--- a/crates/understudy/src/main.rs
+++ b/crates/understudy/src/main.rs
@@ -3,7 +3,8 @@
 use std::io::Write;
 use toolroom::prelude::*;
 
-const HELP: &str = "A stand-in instance: announces itself by beats, runs orders, and records what it ran";
+const HELP: &str =
+    "A stand-in instance: announces itself by beats, runs orders, and records what it ran";
 const BEAT_PERIOD: Duration = Duration::from_millis(500);
 const MOST_BODY: usize = 128 * 1024 * 1024;
 
@@ -21,7 +22,9 @@
 }
 
 fn flags() -> OptionParser<Flags> {
-    let id = long("id").help("The instance's name").argument::<String>("NAME");
+    let id = long("id")
+        .help("The instance's name")
+        .argument::<String>("NAME");
     let pool = long("pool").help("Its pool").argument::<String>("NAME");
     let area = long("area").help("Its area").argument::<String>("NAME");
     let serving = long("serving")
@@ -47,9 +50,19 @@
         .help("File to record runs in")
         .argument::<PathBuf>("FILE")
         .optional();
-    construct!(Flags { id, pool, area, serving, agents, capacity, work_ms, warm_ms, journal })
-        .to_options()
-        .descr(HELP)
+    construct!(Flags {
+        id,
+        pool,
+        area,
+        serving,
+        agents,
+        capacity,
+        work_ms,
+        warm_ms,
+        journal
+    })
+    .to_options()
+    .descr(HELP)
 }
 
 /// The faults that may be asked of it, each for a number of orders.
@@ -75,7 +88,9 @@
 
 fn take_one(count: &AtomicU32) -> bool {
     count
-        .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1))
+        .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| {
+            left.checked_sub(1)
+        })
         .is_ok()
 }
 
@@ -225,12 +240,16 @@
         let mut answer = json_answer(200, &json);
         if take_one(&self.ailments.garbage) {
             // Why this: an answer to some other order must never reach the caller.
-            answer.headers_mut().insert(ORDER_HEADER, HeaderValue::from_static("other"));
+            answer
+                .headers_mut()
+                .insert(ORDER_HEADER, HeaderValue::from_static("other"));
             return Ok(answer);
         }
         if take_one(&self.ailments.truncate) {
             *answer.body_mut() = CutShort { pieces: 2 }.boxed();
-            answer.headers_mut().insert("content-length", HeaderValue::from_static("1000"));
+            answer
+                .headers_mut()
+                .insert("content-length", HeaderValue::from_static("1000"));
         }
         let headers = answer.headers_mut();
         if let Ok(value) = HeaderValue::from_str(&order_id) {
@@ -263,7 +282,9 @@
     }
 
     async fn ail(&self, order: Request<Incoming>) -> Response<Body> {
-        let body = small_body(order.into_body(), 4096).await.unwrap_or_default();
+        let body = small_body(order.into_body(), 4096)
+            .await
+            .unwrap_or_default();
         let value = jzon::parse(&String::from_utf8_lossy(&body)).unwrap_or(JsonValue::Null);
         let count = value["count"].as_u32().unwrap_or(1);
         let ailment = match value["kind"].as_str() {
@@ -289,9 +310,9 @@
 }
 
 fn digest_of(bytes: &[u8]) -> u64 {
-    bytes
-        .iter()
-        .fold(bytes.len() as u64, |digest, byte| mix(digest ^ u64::from(*byte)))
+    bytes.iter().fold(bytes.len() as u64, |digest, byte| {
+        mix(digest ^ u64::from(*byte))
+    })
 }
 
 /// A body that breaks off before the length its head promised.
@@ -323,12 +344,21 @@
     let journal = match &flags.journal {
         None => None,
         Some(path) => Some(Mutex::new(
-            std::fs::OpenOptions::new().create(true).append(true).open(path)?,
+            std::fs::OpenOptions::new()
+                .create(true)
+                .append(true)
+                .open(path)?,
         )),
     };
     // Why this: a stand-in needs a number that grows from life to life.
     let incarnation = wall_millis() as u64;
-    event(STARTED, format!("understudy {} pool {} serving {}", flags.id, flags.pool, flags.serving));
+    event(
+        STARTED,
+        format!(
+            "understudy {} pool {} serving {}",
+            flags.id, flags.pool, flags.serving
+        ),
+    );
     let understudy = Arc::new(Understudy {
         flags,
         clock: Clock::start(),
@@ -355,7 +385,9 @@
     let until = Instant::now() + Duration::from_secs(8);
     let earliest = Instant::now() + Duration::from_millis(3500);
     while Instant::now() < until {
-        let holding = !locked(&understudy.holdings).holding(understudy.clock.now()).is_empty();
+        let holding = !locked(&understudy.holdings)
+            .holding(understudy.clock.now())
+            .is_empty();
         let idle = understudy.load.load(Ordering::SeqCst) == 0 && !holding;
         if idle && Instant::now() > earliest {
             break;
--- a/crates/workshop/src/fleet.rs
+++ b/crates/workshop/src/fleet.rs
@@ -35,7 +35,9 @@
         let line = String::from_utf8_lossy(&line);
         let mut parts = line.split('\0');
         !ended
-            && parts.next().is_some_and(|first| first.ends_with(&format!("/{}", self.program)))
+            && parts
+                .next()
+                .is_some_and(|first| first.ends_with(&format!("/{}", self.program)))
             && parts.eq(self.arguments.iter().map(String::as_str).chain([""]))
     }
 
@@ -119,18 +121,23 @@
         for (number, area) in scenario.directories.iter().enumerate() {
             let (control, serving) = (port(), port());
             let name = format!("cuesheet-{}", number + 1);
-            add(name, "cuesheet", area, serving, place(control, serving, area));
+            add(
+                name,
+                "cuesheet",
+                area,
+                serving,
+                place(control, serving, area),
+            );
         }
         for pool in &scenario.pools {
             for number in 0..pool.instances {
                 let area = &scenario.areas[number as usize % scenario.areas.len()].0;
                 let serving = port();
                 let name = format!("{}-{}", pool.name, number + 1);
-                let mut arguments: Vec<String> = [
-                    "--id", &name, "--pool", &pool.name, "--area", area,
-                ]
-                .map(str::to_string)
-                .to_vec();
+                let mut arguments: Vec<String> =
+                    ["--id", &name, "--pool", &pool.name, "--area", area]
+                        .map(str::to_string)
+                        .to_vec();
                 arguments.extend(["--serving".to_string(), loopback(serving).to_string()]);
                 arguments.extend(["--capacity".to_string(), pool.capacity.to_string()]);
                 arguments.extend(["--work-ms".to_string(), pool.work_ms.to_string()]);
--- a/crates/workshop/src/main.rs
+++ b/crates/workshop/src/main.rs
@@ -28,7 +28,9 @@
     let run = long("run")
         .help("Folder for the fleet's files")
         .argument::<PathBuf>("FOLDER");
-    let scenario = long("scenario").help("Scenario file").argument::<PathBuf>("FILE");
+    let scenario = long("scenario")
+        .help("Scenario file")
+        .argument::<PathBuf>("FILE");
     let base = long("base-port")
         .help("Ports are taken from here up")
         .argument::<u16>("PORT")
@@ -53,7 +55,10 @@
     let harm = |word: &'static str, text: &'static str, signal: i32| {
         let signal = bpaf::pure(signal);
         let names = names();
-        construct!(Command::Harm { signal, names }).to_options().descr(text).command(word)
+        construct!(Command::Harm { signal, names })
+            .to_options()
+            .descr(text)
+            .command(word)
     };
     let kill = harm("kill", "Kill processes at once", libc::SIGKILL);
     let stop = harm("stop", "Ask processes to stop politely", libc::SIGTERM);
@@ -89,7 +94,11 @@
 
 async fn status_of(address: SocketAddr, path: &str) -> Option<Fetched> {
     let patience = Duration::from_secs(1);
-    Fetch::get(address, path).patience(patience).send().await.ok()
+    Fetch::get(address, path)
+        .patience(patience)
+        .send()
+        .await
+        .ok()
 }
 
 async fn up(run: &Path, scenario: &Path, base: u16) -> anyhow::Result<()> {
@@ -110,13 +119,21 @@
     let span = Duration::from_secs(60);
     let ledgers = fleet.of("ledger");
     until("the ledgers agree", span, async || {
-        status_of(ledgers[0], "/v1/standing").await.is_some_and(|fetched| fetched.status == 200)
+        status_of(ledgers[0], "/v1/standing")
+            .await
+            .is_some_and(|fetched| fetched.status == 200)
     })
     .await?;
     let standing = scenario.standing().dump();
     std::fs::write(run.join("standing.json"), scenario.standing().pretty(2))?;
-    let applied = Fetch::post(ledgers[0], "/v1/standing", standing).send().await?;
-    println!("standing orders: {} {}", applied.status, applied.json().dump());
+    let applied = Fetch::post(ledgers[0], "/v1/standing", standing)
+        .send()
+        .await?;
+    println!(
+        "standing orders: {} {}",
+        applied.status,
+        applied.json().dump()
+    );
     let proxies = fleet.of("playout");
     until("all proxies are ready", span, async || {
         for proxy in &proxies {
@@ -147,7 +164,11 @@
     })
     .await?;
     let word = |addresses: &[SocketAddr]| {
-        addresses.iter().map(SocketAddr::to_string).collect::<Vec<_>>().join(" ")
+        addresses
+            .iter()
+            .map(SocketAddr::to_string)
+            .collect::<Vec<_>>()
+            .join(" ")
     };
     println!("ledgers     {}", word(&ledgers));
     println!("directories {}", word(&directories));
@@ -183,12 +204,22 @@
         if path.extension().is_none_or(|ending| ending != "journal") {
             continue;
         }
-        let instance = path.file_stem().unwrap_or_default().to_string_lossy().to_string();
-        let pool = instance.rsplit_once('-').map_or("", |(pool, _)| pool).to_string();
+        let instance = path
+            .file_stem()
+            .unwrap_or_default()
+            .to_string_lossy()
+            .to_string();
+        let pool = instance
+            .rsplit_once('-')
+            .map_or("", |(pool, _)| pool)
+            .to_string();
         for line in std::fs::read_to_string(&path)?.lines() {
             let parts: Vec<&str> = line.split(' ').collect();
             let field = |name: &str| {
-                parts.iter().find_map(|part| part.strip_prefix(name)).unwrap_or_default()
+                parts
+                    .iter()
+                    .find_map(|part| part.strip_prefix(name))
+                    .unwrap_or_default()
             };
             let (Some(order), Some(method)) = (parts.get(1), parts.get(2)) else {
                 continue;
@@ -295,14 +326,21 @@
         Command::Status => {
             for hand in &fleet.hands {
                 let word = if hand.lives() { "lives" } else { "ended" };
-                println!("{word} {:>8} {} {} {}", hand.process, hand.name, hand.area, hand.serving);
+                println!(
+                    "{word} {:>8} {} {} {}",
+                    hand.process, hand.name, hand.area, hand.serving
+                );
             }
         }
         Command::Harm { signal, names } => {
             for place in named_or_end(&fleet, names) {
                 let hand = &fleet.hands[place];
                 let done = hand.signal(*signal);
-                println!("{} {}", hand.name, if done { "done" } else { "was not alive" });
+                println!(
+                    "{} {}",
+                    hand.name,
+                    if done { "done" } else { "was not alive" }
+                );
             }
         }
         Command::Start { names } => {
