Seat witnesses on agents, move seats one at a time, replace lost ledgers

Cause: three ledgers over two zones lose their majority with one zone. Now five seats: two witnesses in areas without a seat; each change of seats waits until a majority of the present cohort has shown that nothing is half agreed, and votes count only under exactly the same cohort edition. Ruled out: a replacement in one step (two cohorts apart, majorities need not meet).

--- a/crates/caperworks/src/agreement.rs
+++ b/crates/caperworks/src/agreement.rs
@@ -211,9 +211,12 @@
         })
     }
 
-    /// Whether a vote under this cohort edition may be heard.
+    /// Whether a vote under this cohort edition may be given.
+    ///
+    /// Why exactly ours: a seat that still held an older cohort could give the same edition to a
+    /// proposer of the old seats after it had helped to settle things among the new ones.
     fn cohort_fits(&self, cohort: Edition) -> bool {
-        cohort >= self.book(BookName::Cohort).edition
+        cohort == self.book(BookName::Cohort).edition
     }
 
     pub fn hear(&mut self, vote: Vote) -> SeatOutcome {
@@ -241,7 +244,7 @@
                         taken: copy.taken.clone(),
                     });
                 } else {
-                    self.deny(&mut outcome, book, edition, ballot, fits);
+                    self.deny(&mut outcome, book, edition, ballot, cohort);
                 }
             }
             Vote::Offer {
@@ -268,7 +271,7 @@
                         ballot,
                     });
                 } else {
-                    self.deny(&mut outcome, book, edition, ballot, fits);
+                    self.deny(&mut outcome, book, edition, ballot, cohort);
                 }
             }
             Vote::Chosen {
@@ -327,7 +330,7 @@
         book: BookName,
         edition: Edition,
         ballot: Ballot,
-        cohort_fits: bool,
+        cohort: Edition,
     ) {
         let copy = self.copy(book);
         outcome.replies.push(Vote::Deny {
@@ -341,10 +344,16 @@
             let after = Edition(edition.0.saturating_sub(1));
             outcome.replies.extend(self.news_after(book, after));
         }
-        if !cohort_fits {
+        let own = self.book(BookName::Cohort).edition;
+        if cohort < own {
             outcome
                 .replies
-                .extend(self.news_after(BookName::Cohort, Edition(0)));
+                .extend(self.news_after(BookName::Cohort, cohort));
+        } else if cohort > own {
+            outcome.replies.push(Vote::CatchUp {
+                book: BookName::Cohort,
+                after: own,
+            });
         }
     }
 }
@@ -432,6 +441,10 @@
     highest_round: u64,
     rest_until: Duration,
     finish_wanted: bool,
+    /// The cohort that the ballot under way was begun under.
+    phase_cohort: Edition,
+    /// The cohort under which a majority last showed that nothing is left half agreed.
+    settled_under: Option<Edition>,
 }
 
 impl Proposer {
@@ -445,6 +458,8 @@
             highest_round: 0,
             rest_until: Duration::ZERO,
             finish_wanted: false,
+            phase_cohort: Edition(0),
+            settled_under: None,
         }
     }
 
@@ -466,6 +481,12 @@
         self.finish_wanted = true;
     }
 
+    /// Whether a majority of the present cohort has shown that nothing is left half agreed from
+    /// the cohort before.
+    pub fn is_settled(&self, cohort: Edition) -> bool {
+        self.settled_under == Some(cohort)
+    }
+
     /// Gives up on proposals that are over their time, and moves a stuck ballot on.
     pub fn tick(&mut self, now: Duration, seat: &Seat, chance: &mut Chance) -> ProposerOutcome {
         let mut outcome = ProposerOutcome::default();
@@ -484,6 +505,7 @@
             }
             !over
         });
+        self.drop_ballot_of_old_cohort(seat);
         let stuck = match &self.phase {
             Phase::Resting => false,
             Phase::Asking { since, edition, .. } => {
@@ -506,6 +528,13 @@
         outcome
     }
 
+    /// Why: votes gathered under one cohort say nothing of a majority of another.
+    fn drop_ballot_of_old_cohort(&mut self, seat: &Seat) {
+        if self.phase_cohort != seat.book(BookName::Cohort).edition {
+            self.phase = Phase::Resting;
+        }
+    }
+
     /// Starts a ballot if there is something to decide and none is under way.
     fn begin(&mut self, now: Duration, seat: &Seat, outcome: &mut ProposerOutcome) {
         if !matches!(self.phase, Phase::Resting) || now < self.rest_until {
@@ -524,6 +553,7 @@
             node: self.node,
         };
         let edition = copy.book.edition.next();
+        self.phase_cohort = seat.book(BookName::Cohort).edition;
         self.phase = Phase::Asking {
             edition,
             ballot,
@@ -578,6 +608,7 @@
         if seats.holder(from).is_none() {
             return outcome;
         }
+        self.drop_ballot_of_old_cohort(seat);
         match (vote, &mut self.phase) {
             (
                 Vote::Promise {
@@ -633,12 +664,6 @@
                         let news = seat.news_after(self.name, *holds);
                         outcome.to_one.extend(news.map(|news| (from, news)));
                     }
-                    // Why: the seat may know a later cohort than we do, or we than it; both sides
-                    // send what the other lacks, and the ballot is tried again after its span.
-                    let cohort = seat.news_after(BookName::Cohort, Edition(0));
-                    if promised < ballot && *holds == Edition(edition.0 - 1) {
-                        outcome.to_one.extend(cohort.map(|news| (from, news)));
-                    }
                 }
             }
             _ => {}
@@ -662,11 +687,12 @@
             .flatten()
             .max_by_key(|taken| taken.ballot)
             .map(|taken| taken.change.clone());
-        self.finish_wanted = false;
         let change = match found {
             // Why another's first: it may already have a majority and its writer a yes.
             Some(change) => change,
             None => {
+                self.finish_wanted = false;
+                self.settled_under = Some(self.phase_cohort);
                 self.answer_settled(seat.book(self.name), outcome);
                 match self.pending.front() {
                     Some(proposal) => proposal.change.clone(),
--- a/crates/caperworks/src/permits.rs
+++ b/crates/caperworks/src/permits.rs
@@ -89,9 +89,11 @@
             .filter(|round| now.saturating_sub(round.started) < span)
     }
 
-    pub fn forget(&mut self) {
+    /// Drops the rounds under way.
+    ///
+    /// Why when the seats change: answers of two sets of seats make a majority of neither.
+    pub fn begin_anew(&mut self) {
         self.open.clear();
-        self.latest = None;
     }
 }
 
--- a/crates/ledger/src/blackboard.rs
+++ b/crates/ledger/src/blackboard.rs
@@ -84,7 +84,6 @@
     pub node: NodeId,
     pub area: Area,
     pub founded: bool,
-    pub seats: Option<Seats>,
 }
 
 #[derive(Debug, Clone)]
@@ -136,7 +135,8 @@
     pub keeper_epoch: Option<Epoch>,
     pub keeper_since: Duration,
     pub plan_at: Duration,
-    pub seating_at: Duration,
+    /// What each node last said that it holds.
+    pub heard_editions: BTreeMap<NodeId, Vec<Edition>>,
     pub lost_since: BTreeMap<NodeId, Duration>,
 
     pub watchers: Vec<Watcher>,
--- a/crates/ledger/src/council.rs
+++ b/crates/ledger/src/council.rs
@@ -38,6 +38,9 @@
     for book in outcome.moved {
         let edition = board.book(book).edition;
         board.note(Event::BookMoved { book, edition });
+        if book == BookName::Cohort {
+            board.rounds.begin_anew();
+        }
     }
 }
 
@@ -146,6 +149,7 @@
         return;
     }
     board.liveness.hear(board.now, from);
+    board.heard_editions.insert(from, editions.clone());
     for name in ALL_BOOKS {
         let own = board.seat.copy(name).possible();
         if editions[name.index()] > own {
@@ -175,7 +179,8 @@
     if unknown || !board.is_seat() {
         let control = board.options.control;
         for seed in seeds.iter().filter(|seed| **seed != control) {
-            board.send(*seed, Message::SeedAsk);
+            let area = board.options.area.clone();
+            board.send(*seed, Message::SeedAsk { area });
         }
     }
     if !unknown || seeds.first() != Some(&board.options.control) {
@@ -213,11 +218,25 @@
     }
 }
 
-pub fn hear_seed_ask(board: &mut Blackboard, reply_to: SocketAddr) {
+pub fn hear_seed_ask(board: &mut Blackboard, from: NodeId, reply_to: SocketAddr, area: Area) {
+    // Why remembered: a ledger at a new address is in nobody's options; this is how it is found.
+    let known = board
+        .seeds
+        .get(&reply_to)
+        .is_some_and(|seen| seen.node == from);
+    if !known && !board.options.seeds.contains(&reply_to) {
+        board.seeds.insert(
+            reply_to,
+            SeedSeen {
+                node: from,
+                area,
+                founded: false,
+            },
+        );
+    }
     let message = Message::SeedAnswer {
         area: board.options.area.clone(),
         founded: board.book(BookName::Cohort).edition > Edition(0),
-        seats: board.seats().cloned(),
     };
     board.send(reply_to, message);
 }
--- a/crates/ledger/src/duties.rs
+++ b/crates/ledger/src/duties.rs
@@ -35,7 +35,7 @@
             DutyStep::Hold { epoch, held } => match name {
                 SOLVER => solve(board, epoch, held),
                 TENURE => keep(board, epoch, held),
-                _ => {}
+                _ => seat(board, held),
             },
         }
     }
@@ -164,6 +164,202 @@
     }
 }
 
+/// How many seats there should be, and how many of them ledgers.
+const SEATS: usize = 5;
+const LEDGER_SEATS: usize = 3;
+/// A witness that was silent for this long has lost what it knew or is about to.
+const WITNESS_LOST: Duration = Duration::from_millis(2500);
+/// A ledger's seat is only given away after so long a silence, and only to another ledger.
+const LEDGER_LOST: Duration = Duration::from_secs(6);
+
+/// Sees to it that the seats are held by the living: one change at a time.
+fn seat(board: &mut Blackboard, held: Duration) {
+    if held < LISTEN_SPAN || board.asked(&Asker::Seating) || !board.is_current(BookName::Cohort) {
+        return;
+    }
+    let Some(seats) = board.seats().cloned() else {
+        return;
+    };
+    let now = board.now;
+    for holder in &seats.holders {
+        if holder.node == board.node || board.liveness.alive(now, holder.node) {
+            board.lost_since.remove(&holder.node);
+        } else {
+            board.lost_since.entry(holder.node).or_insert(now);
+        }
+    }
+    let Some((next, why)) = next_seats(board, &seats) else {
+        return;
+    };
+    // Why settle first: what the seats before may have half agreed on must be finished while
+    // every majority of these seats still meets every majority of those.
+    let cohort = board.book(BookName::Cohort).edition;
+    let mut settled = true;
+    for proposer in &mut board.proposers {
+        if !proposer.is_settled(cohort) {
+            proposer.finish();
+            settled = false;
+        }
+    }
+    if !settled {
+        return;
+    }
+    board.note(Event::SeatWanted { why });
+    let expected = board.book(BookName::Cohort).present("seats");
+    let value = Value::Seats { seats: next };
+    let mut change = single_put(board, "seats", "seats".to_string(), expected, value);
+    let key = format!("duty/{SEATING}");
+    let expected = board.book(BookName::Cohort).present(&key);
+    change.guards.push(Guard { key, expected });
+    board.propose(BookName::Cohort, Asker::Seating, change);
+}
+
+/// The next single change of seats, if one is due, and why.
+fn next_seats(board: &Blackboard, seats: &Seats) -> Option<(Seats, String)> {
+    let now = board.now;
+    let silent = |node: NodeId| {
+        board
+            .lost_since
+            .get(&node)
+            .map_or(Duration::ZERO, |since| now.saturating_sub(*since))
+    };
+    let without = |lost: NodeId| Seats {
+        holders: seats
+            .holders
+            .iter()
+            .filter(|holder| holder.node != lost)
+            .cloned()
+            .collect(),
+    };
+    let with = |holder: SeatHolder| {
+        let mut next = seats.clone();
+        next.holders.push(holder);
+        next
+    };
+    // Why counted: a change that leaves fewer living seats than its majority stops the core.
+    let stands = |next: &Seats| {
+        let living = next
+            .holders
+            .iter()
+            .filter(|holder| silent(holder.node).is_zero())
+            .count();
+        living >= next.majority()
+    };
+    let newcomer = waiting_ledger(board, seats);
+    let ledgers = seats.holders.iter().filter(|holder| holder.ledger).count();
+    if let Some(newcomer) = newcomer.filter(|_| ledgers < LEDGER_SEATS) {
+        let why = format!("ledger {} is new", newcomer.node);
+        return Some((with(newcomer), why)).filter(|(next, _)| stands(next));
+    }
+    let lost_witness = seats
+        .holders
+        .iter()
+        .find(|holder| !holder.ledger && silent(holder.node) >= WITNESS_LOST);
+    if let Some(lost) = lost_witness {
+        let why = format!("witness {} is lost", lost.node);
+        return Some((without(lost.node), why)).filter(|(next, _)| stands(next));
+    }
+    let lost_ledger = seats
+        .holders
+        .iter()
+        .find(|holder| holder.ledger && silent(holder.node) >= LEDGER_LOST);
+    // Why only for another: a ledger's disk is worth its seat as long as nobody can replace it.
+    if let Some(lost) = lost_ledger.filter(|_| newcomer_waits(board, seats)) {
+        let why = format!("ledger {} is lost and another waits", lost.node);
+        return Some((without(lost.node), why)).filter(|(next, _)| stands(next));
+    }
+    let crowded = seats.holders.iter().find(|holder| {
+        !holder.ledger
+            && seats
+                .holders
+                .iter()
+                .any(|other| other.node != holder.node && other.area == holder.area)
+    });
+    // Why moved: two seats in one area are lost together, and another area has none.
+    if let Some(crowded) = crowded.filter(|_| {
+        waiting_witness(board, seats).is_some_and(|waiting| !has_seat(seats, &waiting.area))
+    }) {
+        let why = format!("witness {} crowds {}", crowded.node, crowded.area);
+        return Some((without(crowded.node), why)).filter(|(next, _)| stands(next));
+    }
+    if seats.holders.len() < SEATS {
+        let witness = waiting_witness(board, seats)?;
+        let why = format!("witness {} in {}", witness.node, witness.area);
+        return Some((with(witness), why)).filter(|(next, _)| stands(next));
+    }
+    None
+}
+
+/// A live ledger without a seat that has copied all books.
+fn waiting_ledger(board: &Blackboard, seats: &Seats) -> Option<SeatHolder> {
+    let editions: Vec<Edition> = ALL_BOOKS.map(|name| board.book(name).edition).to_vec();
+    board
+        .seeds
+        .iter()
+        .filter(|(_, seen)| seats.holder(seen.node).is_none())
+        .filter(|(_, seen)| board.liveness.alive(board.now, seen.node))
+        .find(|(_, seen)| {
+            board
+                .heard_editions
+                .get(&seen.node)
+                .is_some_and(|heard| heard.iter().zip(&editions).all(|(heard, own)| heard >= own))
+        })
+        .map(|(address, seen)| SeatHolder {
+            node: seen.node,
+            address: *address,
+            area: seen.area.clone(),
+            ledger: true,
+        })
+}
+
+fn newcomer_waits(board: &Blackboard, seats: &Seats) -> bool {
+    waiting_ledger(board, seats).is_some()
+}
+
+fn has_seat(seats: &Seats, area: &Area) -> bool {
+    seats.holders.iter().any(|holder| holder.area == *area)
+}
+
+/// A live agent that could be a witness: in an area without a seat if there is one.
+fn waiting_witness(board: &Blackboard, seats: &Seats) -> Option<SeatHolder> {
+    let editions: Vec<Edition> = ALL_BOOKS.map(|name| board.book(name).edition).to_vec();
+    board
+        .members
+        .iter()
+        .filter(|member| member.role == Role::Proxy)
+        .filter(|member| seats.holder(member.node).is_none())
+        .filter(|member| {
+            // Why caught up: its copies are what it will vote on.
+            member.editions.len() == editions.len()
+                && member
+                    .editions
+                    .iter()
+                    .zip(&editions)
+                    .all(|(held, own)| held >= own)
+        })
+        .min_by_key(|member| {
+            let seated = |ledger: bool| {
+                seats
+                    .holders
+                    .iter()
+                    .any(|holder| holder.area == member.area && holder.ledger == ledger)
+            };
+            // Why areas first: an area that is lost should take as few seats along as can be.
+            (
+                seated(true),
+                seated(false),
+                member.area.clone(),
+                member.node,
+            )
+        })
+        .map(|member| SeatHolder {
+            node: member.node,
+            address: member.control,
+            area: member.area.clone(),
+            ledger: false,
+        })
+}
+
 /// Answers a beat: only the keeper renews holds, and only while it is sure that it is.
 pub fn answer_beat(board: &mut Blackboard, beat: &Beat) -> BeatAnswer {
     let nothing = BeatAnswer {
--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine.rs
@@ -186,7 +186,7 @@
                 keeper_epoch: None,
                 keeper_since: Duration::ZERO,
                 plan_at: Duration::ZERO,
-                seating_at: Duration::ZERO,
+                heard_editions: BTreeMap::new(),
                 lost_since: BTreeMap::new(),
                 watchers: Vec::new(),
                 outputs: Vec::new(),
@@ -286,17 +286,12 @@
         Message::RoundAnswer { number, editions } => {
             council::hear_round_answer(board, from, reply_to, number, editions);
         }
-        Message::SeedAsk => council::hear_seed_ask(board, reply_to),
-        Message::SeedAnswer {
-            area,
-            founded,
-            seats,
-        } => {
+        Message::SeedAsk { area } => council::hear_seed_ask(board, from, reply_to, area),
+        Message::SeedAnswer { area, founded } => {
             let seen = SeedSeen {
                 node: from,
                 area,
                 founded,
-                seats,
             };
             council::hear_seed_answer(board, reply_to, seen);
         }
--- a/crates/mentor/src/machine.rs
+++ b/crates/mentor/src/machine.rs
@@ -63,6 +63,8 @@
     beats: Vec<WaitingBeat>,
     next_beat: u64,
     was_fresh: bool,
+    /// Our voting part while the cohort names us as a witness.
+    seat: Option<Seat>,
 }
 
 impl MentorMachine {
@@ -79,6 +81,7 @@
             beats: Vec::new(),
             next_beat: 0,
             was_fresh: false,
+            seat: None,
         }
     }
 
@@ -162,7 +165,11 @@
     fn hear(&mut self, now: Duration, envelope: Envelope, outputs: &mut Vec<MentorOutput>) {
         match envelope.message {
             Message::Grant { granted } => {
-                for book in self.link.granted(now, envelope.from, &granted) {
+                let moved = self.link.granted(now, envelope.from, &granted);
+                if moved.contains(&BookName::Cohort) {
+                    self.look_for_seat();
+                }
+                for book in moved {
                     let edition = self.link.shelf.follower().book(book).edition;
                     let event = MentorEvent::BookMoved { book, edition };
                     outputs.push(MentorOutput::Note { event });
@@ -192,11 +199,64 @@
                     message: Message::View { view },
                 });
             }
+            Message::Vote { vote } => {
+                let Some(seat) = &mut self.seat else {
+                    return;
+                };
+                let outcome = seat.hear(vote);
+                let cohort_moved = outcome.moved.contains(&BookName::Cohort);
+                outputs.extend(outcome.replies.into_iter().map(|vote| MentorOutput::Send {
+                    to: envelope.reply_to,
+                    message: Message::Vote { vote },
+                }));
+                if cohort_moved {
+                    self.look_for_seat();
+                }
+            }
+            Message::RoundAsk { number } => {
+                if let Some(seat) = &self.seat {
+                    let editions = seat.possible();
+                    outputs.push(MentorOutput::Send {
+                        to: envelope.reply_to,
+                        message: Message::RoundAnswer { number, editions },
+                    });
+                }
+            }
             // Why nothing: all else is for ledgers.
             _ => {}
         }
     }
 
+    /// Takes a witness's seat up or lays it down, as the cohort says.
+    ///
+    /// Why from the copies at hand: whoever gave us the seat had settled every book before, and
+    /// what we lack of them we refuse to vote on until we have it.
+    fn look_for_seat(&mut self) {
+        let follower = self.link.shelf.follower();
+        let mut cohort = follower.book(BookName::Cohort);
+        if let Some(seat) = &self.seat {
+            let voted = seat.book(BookName::Cohort);
+            if voted.edition > cohort.edition {
+                cohort = voted;
+            }
+        }
+        let named = cohort
+            .seats()
+            .is_some_and(|seats| seats.holder(self.node).is_some());
+        if !named {
+            self.seat = None;
+        } else if self.seat.is_none() {
+            let copies = ALL_BOOKS
+                .iter()
+                .map(|name| Copy {
+                    book: follower.book(*name).clone(),
+                    ..Copy::empty()
+                })
+                .collect();
+            self.seat = Some(Seat::restored(copies));
+        }
+    }
+
     fn view(&self, now: Duration, pull: &Pull) -> ProxyView {
         let follower = self.link.shelf.follower();
         let news = [
--- a/crates/rehearsal/examples/play.rs
+++ b/crates/rehearsal/examples/play.rs
@@ -1,5 +1,7 @@
 //! Plays a day file over many seeds and prints what came of each: the long run.
 //!
+//! With a COUNT of one, a failing seed also prints what the ledgers noted.
+//!
 //! `cargo run --release -p rehearsal --example play -- DAY.json FIRST_SEED COUNT`
 
 use rehearsal::prelude::*;
@@ -34,6 +36,9 @@
                 let observers = day.play(&scenario, seed);
                 println!("seed {seed}: {:?}", observers.tally);
                 if !observers.breaches.is_empty() {
+                    if count == 1 {
+                        println!("{}", observers.notes.join("\n"));
+                    }
                     bad.fetch_add(1, order);
                 }
                 for breach in observers.breaches.iter().take(4) {
--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -9,6 +9,8 @@
     Start,
     Replace,
     Move,
+    /// An empty node of the same kind joins at a new address.
+    AddAnother,
     Freeze,
     Wake,
     Leave,
@@ -71,6 +73,7 @@
         "start" => Act::Start,
         "lose-disk" => Act::Replace,
         "move" => Act::Move,
+        "add-ledger" => Act::AddAnother,
         "freeze" => Act::Freeze,
         "wake" => Act::Wake,
         "leave" => Act::Leave,
--- a/crates/rehearsal/src/observers.rs
+++ b/crates/rehearsal/src/observers.rs
@@ -79,6 +79,8 @@
 pub struct Observers {
     pub breaches: Vec<Breach>,
     pub tally: Tally,
+    /// What the ledgers noted of cohort and duties, for whoever looks into a failing seed.
+    pub notes: Vec<String>,
     runs: HashMap<u64, u32>,
     told: HashMap<u64, ToldCaller>,
     writes: HashSet<u64>,
@@ -133,6 +135,16 @@
         }
     }
 
+    pub fn noted(&mut self, at: Duration, name: String, event: Event) {
+        let of_cohort = match &event {
+            Event::BookMoved { book, .. } => *book == BookName::Cohort,
+            _ => true,
+        };
+        if of_cohort && self.notes.len() < 5000 {
+            self.notes.push(format!("{at:?} {name} {event:?}"));
+        }
+    }
+
     /// The work of an order took effect.
     pub fn ran(&mut self, at: Duration, order: u64, instance: &InstanceId) {
         let runs = self.runs.entry(order).or_default();
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -778,7 +778,10 @@
                         }
                     }
                 }
-                LedgerOutput::Note { .. } => {}
+                LedgerOutput::Note { event } => {
+                    let name = self.nodes[place].name.clone();
+                    self.observers.noted(self.now, name, event);
+                }
             }
         }
     }
@@ -1387,6 +1390,11 @@
                     self.move_away(place);
                 }
             }
+            Act::AddAnother => {
+                for place in places {
+                    self.add_another(place);
+                }
+            }
             Act::Freeze => {
                 for place in places {
                     self.nodes[place].frozen = self.nodes[place].body.is_some();
@@ -1503,10 +1511,13 @@
     fn move_away(&mut self, place: usize) {
         self.end(place, true);
         self.nodes[place].left_for_good = true;
-        let (name, area, kind) = {
-            let node = &self.nodes[place];
-            (node.name.clone(), node.area.clone(), node.kind.clone())
-        };
+        self.add_another(place);
+    }
+
+    /// Adds an empty node of the same kind, in the same area, at a new address.
+    fn add_another(&mut self, place: usize) {
+        let node = &self.nodes[place];
+        let (name, area, kind) = (node.name.clone(), node.area.clone(), node.kind.clone());
         let next = self.add(format!("{name}-new"), area.as_str(), kind);
         self.start(next);
     }
