--- a/crates/ledger/src/duties.rs
+++ b/crates/ledger/src/duties.rs
@@ -169,6 +169,8 @@
 const LEDGER_SEATS: usize = 3;
 /// A witness that was silent for this long has lost what it knew or is about to.
 const WITNESS_LOST: Duration = Duration::from_millis(2500);
+/// How many editions a witness may be behind when it gets its seat.
+const WITNESS_LAG: u64 = 20;
 /// A ledger's seat is only given away after so long a silence, and only to another ledger.
 const LEDGER_LOST: Duration = Duration::from_secs(6);
 
@@ -329,13 +331,14 @@
         .filter(|member| member.role == Role::Proxy)
         .filter(|member| seats.holder(member.node).is_none())
         .filter(|member| {
-            // Why caught up: its copies are what it will vote on.
+            // Why nearly caught up and not wholly: what it lacks it takes over before it votes, and
+            // whoever happens to be the first to be level must not outweigh where it stands.
             member.editions.len() == editions.len()
                 && member
                     .editions
                     .iter()
                     .zip(&editions)
-                    .all(|(held, own)| held >= own)
+                    .all(|(held, own)| held.0 + WITNESS_LAG >= own.0)
         })
         .min_by_key(|member| {
             let seated = |ledger: bool| {
