--- /dev/null
+++ b/crates/runsheet/src/lib.rs
@@ -0,0 +1,5 @@
+//! Runbooks that can be executed: read and checked, then run step by step.
+
+pub mod prelude;
+pub mod runbook;
+pub mod runner;
--- /dev/null
+++ b/crates/runsheet/src/prelude.rs
@@ -0,0 +1,6 @@
+//! The one module that each file of this crate imports.
+
+pub use toolroom::prelude::*;
+
+pub use crate::runbook::*;
+pub use crate::runner::*;
--- /dev/null
+++ b/crates/runsheet/src/runner.rs
@@ -0,0 +1,343 @@
+//! Runs a runbook as a state machine: says what to look at or apply, and takes what came of it.
+
+use crate::prelude::*;
+
+/// What the runner wants done next.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Wish {
+    /// Read status and standing orders, and hand them in.
+    Look,
+    /// Apply this change set, and hand the answer in.
+    Apply { change: JsonValue },
+    /// Apply the change set in this file, and hand the answer in.
+    ApplyFile { file: String },
+    /// The runbook is done.
+    Done,
+    /// A check failed: stop, and tell the operator what to do.
+    Stopped {
+        step: usize,
+        why: String,
+        remedy: String,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum Phase {
+    Entering,
+    Applying,
+    Checking {
+        since: Duration,
+        held_since: Option<Duration>,
+    },
+    Stopped {
+        why: String,
+    },
+}
+
+pub struct Runner {
+    book: Runbook,
+    inputs: BTreeMap<String, String>,
+    place: usize,
+    phase: Phase,
+    remembered: BTreeMap<String, JsonValue>,
+    seed: u64,
+}
+
+/// What a ledger last told.
+pub struct Seen<'seen> {
+    pub status: &'seen JsonValue,
+    pub standing: &'seen JsonValue,
+}
+
+fn item<'json>(standing: &'json JsonValue, key: &str) -> Option<&'json JsonValue> {
+    let (kind, name) = key.split_once('/')?;
+    standing["items"]
+        .members()
+        .find(|item| item["kind"] == kind && item["name"] == name)
+}
+
+/// Whether a check holds; if not, what was seen instead.
+pub fn holds(check: &Check, seen: &Seen<'_>) -> Result<(), String> {
+    let status = seen.status;
+    let seats = |ledgers_only: bool| {
+        let count = status["seats"]
+            .members()
+            .filter(|seat| seat["alive"] == true && (!ledgers_only || seat["ledger"] == true))
+            .count();
+        count as u64
+    };
+    let at_least = |what: &str, found: u64, wanted: u64| {
+        if found >= wanted {
+            Ok(())
+        } else {
+            Err(format!("{what}: {found}, wanted at least {wanted}"))
+        }
+    };
+    let at_most = |what: &str, found: u64, wanted: u64| {
+        if found <= wanted {
+            Ok(())
+        } else {
+            Err(format!("{what}: {found}, wanted at most {wanted}"))
+        }
+    };
+    let seat_at = |address: &str| {
+        status["seats"]
+            .members()
+            .any(|seat| seat["address"] == address)
+    };
+    let closed = |area: &str| {
+        item(seen.standing, &format!("area/{area}"))
+            .and_then(|item| item["area"]["closed"].as_bool())
+    };
+    let truth = |holds: bool, why: &str| if holds { Ok(()) } else { Err(why.to_string()) };
+    match check {
+        Check::Current => truth(status["current"] == true, "no ledger hears a majority"),
+        Check::DiskWell => truth(status["disk"] == "well", "a ledger's disk refuses writes"),
+        Check::DutiesHeld => {
+            let living: Vec<u64> = status["seats"]
+                .members()
+                .filter(|seat| seat["alive"] == true)
+                .filter_map(|seat| seat["node"].as_u64())
+                .collect();
+            let held = !status["duties"].is_empty()
+                && status["duties"].members().all(|duty| {
+                    duty["holder"]
+                        .as_u64()
+                        .is_some_and(|node| living.contains(&node))
+                });
+            truth(held, "a duty has no living holder")
+        }
+        Check::LivingSeats(wanted) => at_least("living seats", seats(false), *wanted),
+        Check::LivingLedgers(wanted) => {
+            at_least("living ledgers with a seat", seats(true), *wanted)
+        }
+        Check::ReadyProxies(wanted) => {
+            let ready = status["members"]
+                .members()
+                .filter(|member| member["role"] == "proxy" && member["ready"] == true)
+                .count();
+            at_least("ready proxies", ready as u64, *wanted)
+        }
+        Check::FeedLag(wanted) => {
+            let lag = status["members"]
+                .members()
+                .filter_map(|member| member["feed_lag"].as_u64())
+                .max()
+                .unwrap_or(0);
+            at_most("feed lag", lag, *wanted)
+        }
+        Check::Unplaced(wanted) => {
+            let unplaced = status["unplaced_demand"].as_u64().unwrap_or(u64::MAX);
+            at_most("unplaced demand", unplaced, *wanted)
+        }
+        Check::Instances(wanted) => {
+            at_least("instances", status["instances"].len() as u64, *wanted)
+        }
+        Check::AreaClosed(area) => truth(closed(area) == Some(true), "the area is not closed"),
+        Check::AreaOpen(area) => truth(closed(area) == Some(false), "the area is not open"),
+        Check::SeatAt(address) => truth(seat_at(address), "no seat has this address"),
+        Check::NoSeatAt(address) => truth(!seat_at(address), "a seat still has this address"),
+    }
+}
+
+impl Runner {
+    /// Takes a runbook and its inputs; lists the inputs that are missing or unknown.
+    pub fn start(
+        book: Runbook,
+        inputs: BTreeMap<String, String>,
+        seed: u64,
+    ) -> Result<Self, Vec<String>> {
+        let mut wrong: Vec<String> = book
+            .inputs
+            .iter()
+            .filter(|(name, _)| !inputs.contains_key(name))
+            .map(|(name, meaning)| format!("{name} is missing: give --set {name}=… ({meaning})"))
+            .collect();
+        for name in inputs.keys() {
+            if !book.inputs.iter().any(|(known, _)| known == name) {
+                wrong.push(format!("{name} is no input of this runbook: remove it"));
+            }
+        }
+        if !wrong.is_empty() {
+            return Err(wrong);
+        }
+        Ok(Self {
+            book,
+            inputs,
+            place: 0,
+            phase: Phase::Entering,
+            remembered: BTreeMap::new(),
+            seed,
+        })
+    }
+
+    pub fn filled(&self, text: &str) -> String {
+        self.inputs
+            .iter()
+            .fold(text.to_string(), |text, (name, value)| {
+                text.replace(&format!("${{{name}}}"), value)
+            })
+    }
+
+    fn filled_check(&self, check: &Check) -> Check {
+        match check {
+            Check::AreaClosed(area) => Check::AreaClosed(self.filled(area)),
+            Check::AreaOpen(area) => Check::AreaOpen(self.filled(area)),
+            Check::SeatAt(address) => Check::SeatAt(self.filled(address)),
+            Check::NoSeatAt(address) => Check::NoSeatAt(self.filled(address)),
+            other => other.clone(),
+        }
+    }
+
+    pub fn steps(&self) -> &[Step] {
+        &self.book.steps
+    }
+
+    /// The step under way, counted from one, if there is one left.
+    pub fn step(&self) -> Option<(usize, &Step)> {
+        Some((self.place + 1, self.book.steps.get(self.place)?))
+    }
+
+    /// What is to be done next.
+    pub fn next(&self) -> Wish {
+        let Some(step) = self.book.steps.get(self.place) else {
+            return Wish::Done;
+        };
+        match (&self.phase, &step.deed) {
+            (Phase::Stopped { why }, _) => Wish::Stopped {
+                step: self.place + 1,
+                why: why.clone(),
+                remedy: self.filled(&step.otherwise),
+            },
+            (Phase::Applying, Deed::Apply(file)) => Wish::ApplyFile {
+                file: self.filled(file),
+            },
+            (Phase::Applying, _) => match self.remembered.get("") {
+                Some(change) => Wish::Apply {
+                    change: change.clone(),
+                },
+                None => Wish::Look,
+            },
+            _ => Wish::Look,
+        }
+    }
+
+    /// Takes what a ledger told; the machine may move on.
+    pub fn saw(&mut self, now: Duration, seen: &Seen<'_>) {
+        let Some(step) = self.book.steps.get(self.place).cloned() else {
+            return;
+        };
+        match self.phase.clone() {
+            Phase::Entering => self.enter(now, &step, seen),
+            Phase::Checking { since, held_since } => {
+                let failed = step
+                    .checks
+                    .iter()
+                    .map(|check| holds(&self.filled_check(check), seen))
+                    .find_map(Result::err);
+                match failed {
+                    None => {
+                        let held = held_since.unwrap_or(now);
+                        if now.saturating_sub(held) >= step.steady {
+                            self.place += 1;
+                            self.phase = Phase::Entering;
+                        } else {
+                            self.phase = Phase::Checking {
+                                since,
+                                held_since: Some(held),
+                            };
+                        }
+                    }
+                    Some(why) if now.saturating_sub(since) >= step.within => {
+                        self.phase = Phase::Stopped { why };
+                    }
+                    Some(_) => {
+                        self.phase = Phase::Checking {
+                            since,
+                            held_since: None,
+                        };
+                    }
+                }
+            }
+            Phase::Applying | Phase::Stopped { .. } => {}
+        }
+    }
+
+    fn enter(&mut self, now: Duration, step: &Step, seen: &Seen<'_>) {
+        let checking = Phase::Checking {
+            since: now,
+            held_since: None,
+        };
+        let turn = |runner: &mut Self, area: &str, closed: bool| {
+            let area = runner.filled(area);
+            match item(seen.standing, &format!("area/{area}")).cloned() {
+                None => Phase::Stopped {
+                    why: format!("there is no area {area}"),
+                },
+                Some(mut found) => {
+                    found["area"]["closed"] = closed.into();
+                    let word = if closed { "close" } else { "open" };
+                    runner.prepare(&format!("{word}-{area}"), found);
+                    Phase::Applying
+                }
+            }
+        };
+        self.phase = match &step.deed {
+            Deed::Nothing | Deed::ByHand(_) => checking,
+            Deed::CloseArea(area) => turn(self, area, true),
+            Deed::OpenArea(area) => turn(self, area, false),
+            Deed::Apply(_) => Phase::Applying,
+            Deed::Remember(key) => {
+                let key = self.filled(key);
+                match item(seen.standing, &key).cloned() {
+                    None => Phase::Stopped {
+                        why: format!("there is no {key}"),
+                    },
+                    Some(found) => {
+                        self.remembered.insert(key, found);
+                        checking
+                    }
+                }
+            }
+            Deed::Restore(key) => {
+                let key = self.filled(key);
+                match (
+                    self.remembered.get(&key).cloned(),
+                    item(seen.standing, &key),
+                ) {
+                    (None, _) => Phase::Stopped {
+                        why: format!("{key} was not remembered before"),
+                    },
+                    (Some(mut before), present) => {
+                        // Why the present edition: whoever changed it since we looked must win.
+                        let edition = present.and_then(|item| item["edition"].as_u64());
+                        before["edition"] = edition.unwrap_or(0).into();
+                        self.prepare(&format!("restore-{}", key.replace('/', "-")), before);
+                        Phase::Applying
+                    }
+                }
+            }
+        };
+    }
+
+    fn prepare(&mut self, word: &str, put: JsonValue) {
+        let id = format!("{word}-{:x}-{}", self.seed, self.place);
+        let change = jzon::object! { id: id, put: [put] };
+        self.remembered.insert(String::new(), change);
+    }
+
+    /// Takes the answer to an apply.
+    pub fn applied(&mut self, now: Duration, status: u16, answer: &JsonValue) {
+        self.remembered.remove("");
+        self.phase = if status == 200 {
+            Phase::Checking {
+                since: now,
+                held_since: None,
+            }
+        } else {
+            Phase::Stopped {
+                why: format!("the change was answered {status}: {}", answer.dump()),
+            }
+        };
+    }
+}
--- /dev/null
+++ b/crates/runsheet/tests/runbooks.rs
@@ -0,0 +1,25 @@
+//! Every runbook that we ship reads and can be started with its inputs.
+
+use runsheet::prelude::*;
+
+fn reads(path: &Path) -> datatest_stable::Result<()> {
+    let book = Runbook::read(path).map_err(|faults| format!("{faults:?}"))?;
+    let inputs = book
+        .inputs
+        .iter()
+        .map(|(name, _)| (name.clone(), "x".to_string()))
+        .collect();
+    let runner = Runner::start(book, inputs, 1).map_err(|wrong| format!("{wrong:?}"))?;
+    if runner
+        .steps()
+        .iter()
+        .any(|step| runner.filled(&step.say).contains("${"))
+    {
+        return Err("an input is not filled in".into());
+    }
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = reads, root = "../../runbooks", pattern = r"\.json$" },
+}
