--- a/crates/workshop/src/main.rs
+++ b/crates/workshop/src/main.rs
@@ -245,7 +245,9 @@
     let runs = read_journals(&fleet.folder)?;
     let mut told: HashMap<String, String> = HashMap::new();
     for record in records {
-        for line in std::fs::read_to_string(record)?.lines() {
+        let text = std::fs::read_to_string(record)
+            .with_context(|| format!("cannot read the record {}", record.display()))?;
+        for line in text.lines() {
             if let Some((order, word)) = line.split_once(' ') {
                 told.insert(order.to_string(), word.to_string());
             }
