Refuse orders that tell their length twice; name faults of form and of sense in one answer

Cause: the HTTP library prefers a coding over a length and drops the length without a word, so an order with both was carried (re-framed, so nothing could be smuggled past the proxy). Ruled out: telling from the request's headers alone.

--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine.rs
@@ -39,9 +39,18 @@
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum OperatorCall {
-    Apply { change: Change },
+    Apply {
+        change: Change,
+    },
+    /// Only says what is wrong with the change, and applies nothing.
+    Check {
+        change: Change,
+    },
     Read,
-    Watch { after: Edition, wait: Duration },
+    Watch {
+        after: Edition,
+        wait: Duration,
+    },
     Status,
 }
 
@@ -411,6 +420,9 @@
             council::tick_proposers(board);
             return;
         }
+        OperatorCall::Check { change } => OperatorAnswer::Verdict {
+            verdict: Verdict::Faulty(check_standing(board.book(BookName::Standing), &change)),
+        },
         OperatorCall::Read => {
             if board.is_current(BookName::Standing) {
                 let book = board.book(BookName::Standing).clone();
--- a/crates/ledger/src/main.rs
+++ b/crates/ledger/src/main.rs
@@ -121,12 +121,22 @@
                 return json_answer(400, &verdict_json(&Verdict::Faulty(fault.to_vec())).1);
             }
         };
-        let verdict = match read_change(&String::from_utf8_lossy(&body)) {
-            Err(faults) => Verdict::Faulty(faults),
-            Ok(change) => match self.call(OperatorCall::Apply { change }).await {
-                Some(OperatorAnswer::Verdict { verdict }) => verdict,
-                _ => Verdict::Unknown,
-            },
+        let (change, mut faults) = read_form(&String::from_utf8_lossy(&body));
+        let call = if faults.is_empty() {
+            OperatorCall::Apply { change }
+        } else {
+            // Why checked all the same: one answer is to name every fault, of form and of sense.
+            OperatorCall::Check { change }
+        };
+        let verdict = match self.call(call).await {
+            Some(OperatorAnswer::Verdict {
+                verdict: Verdict::Faulty(more),
+            }) => {
+                faults.extend(more);
+                Verdict::Faulty(faults)
+            }
+            Some(OperatorAnswer::Verdict { verdict }) => verdict,
+            _ => Verdict::Unknown,
         };
         let (status, json) = verdict_json(&verdict);
         json_answer(status, &json)
--- a/crates/ledger/src/orders.rs
+++ b/crates/ledger/src/orders.rs
@@ -194,44 +194,51 @@
     })
 }
 
-/// Reads a change set; lists every fault if there is any.
-pub fn read_change(text: &str) -> Result<Change, Vec<Fault>> {
-    let value = jzon::parse(text)
-        .map_err(|error| vec![Fault::new("body", format!("is no JSON: {error}"))])?;
+/// Reads a change set as far as it can be read, with every fault of its form.
+pub fn read_form(text: &str) -> (Change, Vec<Fault>) {
+    let mut change = Change {
+        id: ChangeId::new(""),
+        puts: Vec::new(),
+        guards: Vec::new(),
+    };
+    let value = match jzon::parse(text) {
+        Ok(value) => value,
+        Err(error) => {
+            return (
+                change,
+                vec![Fault::new("body", format!("is no JSON: {error}"))],
+            )
+        }
+    };
     let mut faults = Vec::new();
     let Some(mut reader) = Reader::new("", &value, &mut faults) else {
-        return Err(vec![Fault::new("body", "must be an object")]);
+        return (change, vec![Fault::new("body", "must be an object")]);
     };
     let id = reader.needed_text("id", &mut faults);
-    if id.is_empty() || id.len() > 128 {
-        faults.push(Fault::new(
-            "id",
-            "give a name of 1 to 128 characters for this change set",
-        ));
+    if id.len() > 128 {
+        faults.push(Fault::new("id", "has at most 128 characters"));
     }
-    let mut puts = Vec::new();
     for (name, drops) in [("put", false), ("drop", true)] {
         for (place, item) in reader.list(name, &mut faults).iter().enumerate() {
-            puts.extend(read_put(
-                &format!("{name}[{place}]"),
-                item,
-                drops,
-                &mut faults,
-            ));
+            let path = format!("{name}[{place}]");
+            change
+                .puts
+                .extend(read_put(&path, item, drops, &mut faults));
         }
     }
     reader.finish(&mut faults);
-    if puts.is_empty() && faults.is_empty() {
+    if change.puts.is_empty() && faults.is_empty() {
         faults.push(Fault::new("put", "the change set is empty"));
     }
-    if faults.is_empty() {
-        Ok(Change {
-            id: ChangeId::new(id),
-            puts,
-            guards: Vec::new(),
-        })
-    } else {
-        Err(faults)
+    change.id = ChangeId::new(id);
+    (change, faults)
+}
+
+/// Reads a change set whose form is without fault.
+pub fn read_change(text: &str) -> Result<Change, Vec<Fault>> {
+    match read_form(text) {
+        (change, faults) if faults.is_empty() => Ok(change),
+        (_, faults) => Err(faults),
     }
 }
 
--- a/crates/playout/src/carrier.rs
+++ b/crates/playout/src/carrier.rs
@@ -489,8 +489,8 @@
 /// Refuses what could be read in two ways; says the host.
 fn checked_framing(head: &hyper::http::request::Parts) -> Result<String, Mishap> {
     let count = |name: &str| head.headers.get_all(name).iter().count();
-    let both = count("transfer-encoding") > 0 && count("content-length") > 0;
-    let bad = both
+    let twice = head.extensions.get::<AmbiguousFraming>().is_some();
+    let bad = twice
         || count("content-length") > 1
         || count("transfer-encoding") > 1
         || count("host") != 1
--- a/crates/toolroom/src/http.rs
+++ b/crates/toolroom/src/http.rs
@@ -63,6 +63,95 @@
     }
 }
 
+/// Marks a request whose head told its length in two ways.
+#[derive(Debug, Clone, Copy)]
+pub struct AmbiguousFraming;
+
+/// How much of what came in of late is kept to look at a request's head again.
+const KEPT_OF_LATE: usize = 64 * 1024;
+
+/// A stream that remembers what it read since the last request's head.
+///
+/// Why: the library drops one of two conflicting lengths without a word, but an order whose end
+/// can be read in two ways must be refused.
+struct Remembering {
+    inner: TcpStream,
+    read: Arc<Mutex<Vec<u8>>>,
+}
+
+impl tokio::io::AsyncRead for Remembering {
+    fn poll_read(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+        buffer: &mut tokio::io::ReadBuf<'_>,
+    ) -> std::task::Poll<std::io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = std::pin::Pin::new(&mut self.inner).poll_read(context, buffer);
+        let mut read = locked(&self.read);
+        read.extend_from_slice(&buffer.filled()[before..]);
+        if read.len() > KEPT_OF_LATE {
+            let over = read.len() - KEPT_OF_LATE;
+            read.drain(..over);
+        }
+        polled
+    }
+}
+
+impl tokio::io::AsyncWrite for Remembering {
+    fn poll_write(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+        bytes: &[u8],
+    ) -> std::task::Poll<std::io::Result<usize>> {
+        std::pin::Pin::new(&mut self.inner).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+        slices: &[std::io::IoSlice<'_>],
+    ) -> std::task::Poll<std::io::Result<usize>> {
+        std::pin::Pin::new(&mut self.inner).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<std::io::Result<()>> {
+        std::pin::Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<std::io::Result<()>> {
+        std::pin::Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+}
+
+/// Whether the head that was read last names both a length and a coding.
+fn tells_length_twice(read: &[u8], order: &Request<Incoming>) -> bool {
+    // Why only then: without a coding there is nothing for the library to have preferred.
+    if !order.headers().contains_key("transfer-encoding") {
+        return false;
+    }
+    let text = String::from_utf8_lossy(read);
+    let line = format!("{} {} HTTP/1.1", order.method(), order.uri());
+    let Some(start) = text.rfind(&line) else {
+        return true;
+    };
+    text[start..]
+        .lines()
+        .skip(1)
+        .take_while(|line| !line.is_empty())
+        .filter_map(|line| line.split_once(':'))
+        .any(|(name, _)| name.trim().eq_ignore_ascii_case("content-length"))
+}
+
 /// Serves HTTP on a listener until the process ends or `stop` is set; counts what is under way.
 pub async fn serve_http<Handler, Answering>(
     listener: TcpListener,
@@ -89,7 +178,16 @@
         let handler = handler.clone();
         let stop = stop.clone();
         tokio::spawn(async move {
-            let service = hyper::service::service_fn(move |order| {
+            let read = Arc::new(Mutex::new(Vec::new()));
+            let stream = Remembering {
+                inner: stream,
+                read: read.clone(),
+            };
+            let service = hyper::service::service_fn(move |mut order: Request<Incoming>| {
+                let of_late = std::mem::take(&mut *locked(&read));
+                if tells_length_twice(&of_late, &order) {
+                    order.extensions_mut().insert(AmbiguousFraming);
+                }
                 let answering = handler(far_end, order);
                 let stop = stop.clone();
                 async move {
--- a/crates/workshop/src/main.rs
+++ b/crates/workshop/src/main.rs
@@ -163,6 +163,21 @@
         true
     })
     .await?;
+    if let Some(read) = scenario
+        .traffic
+        .iter()
+        .find(|kind| kind.method == Method::GET)
+    {
+        // Why wait: instances are cold at first and take no more than their gentle rate.
+        until("orders are served", span, async || {
+            let order = Fetch::get(proxies[0], read.path.clone()).header("host", &read.host);
+            order
+                .send()
+                .await
+                .is_ok_and(|fetched| fetched.status == 200)
+        })
+        .await?;
+    }
     let word = |addresses: &[SocketAddr]| {
         addresses
             .iter()
