Share the books between a proxy's views; bound histories by weight

Cause: a proxy copied its whole knowledge, standing orders and all, for every view of its agent (7 a second). With 10000 rules an idle proxy took 0.73 s of processor in 10 s; it has two. Ruled out: the agent's messages (they carry no standing orders unless these moved). Histories kept 256 changes whatever their size; a mapping of 10000 rules is as large as its book, and agents had grown to 82 MiB within a minute. Now bounded by weight. Also: a late beat passed on by a third node no longer pushes out the instance that took its address over (the story failed first).

--- a/crates/caperworks/src/agreement.rs
+++ b/crates/caperworks/src/agreement.rs
@@ -6,9 +6,6 @@
 
 use crate::prelude::*;
 
-/// How many changes a copy keeps at hand for followers that are a little behind.
-pub const HISTORY: usize = 256;
-
 messages! {
     #[derive(Copy, Eq, PartialOrd, Ord, Hash)]
     struct Ballot {
@@ -101,7 +98,7 @@
 #[derive(Debug, Clone)]
 pub struct Seat {
     copies: Vec<Copy>,
-    histories: Vec<VecDeque<NumberedChange>>,
+    histories: Vec<History>,
 }
 
 impl Default for Seat {
@@ -112,7 +109,7 @@
 
 impl Seat {
     pub fn restored(copies: Vec<Copy>) -> Self {
-        let histories = copies.iter().map(|_| VecDeque::new()).collect();
+        let histories = copies.iter().map(|_| History::default()).collect();
         Self { copies, histories }
     }
 
@@ -173,42 +170,13 @@
         copy.book.apply(&change);
         copy.promised = Ballot::NONE;
         copy.taken = None;
-        let history = &mut self.histories[name.index()];
-        history.push_back(NumberedChange {
-            edition: copy.book.edition,
-            change,
-        });
-        if history.len() > HISTORY {
-            history.pop_front();
-        }
+        let edition = copy.book.edition;
+        self.histories[name.index()].push(NumberedChange { edition, change });
     }
 
     /// What a copy that holds `after` needs to come up to ours: changes, or the whole book.
     pub fn news_after(&self, name: BookName, after: Edition) -> Option<Vote> {
-        let copy = self.copy(name);
-        if after >= copy.book.edition {
-            return None;
-        }
-        let history = &self.histories[name.index()];
-        let reaches = history
-            .front()
-            .is_some_and(|first| first.edition <= after.next());
-        Some(if reaches {
-            let changes = history
-                .iter()
-                .filter(|numbered| numbered.edition > after)
-                .cloned()
-                .collect();
-            Vote::News {
-                book: name,
-                changes,
-            }
-        } else {
-            Vote::Whole {
-                book: name,
-                whole: copy.book.clone(),
-            }
-        })
+        self.histories[name.index()].news_after(name, self.book(name), after)
     }
 
     /// Whether a vote under this cohort edition may be given.
--- a/crates/caperworks/src/books.rs
+++ b/crates/caperworks/src/books.rs
@@ -199,6 +199,20 @@
 }
 
 impl Change {
+    /// About how much room the change takes, in items.
+    pub fn weight(&self) -> usize {
+        let of_value = |value: &Value| match value {
+            Value::Mapping { mapping } => mapping.groups.len() * LIST_LENGTH,
+            Value::Slices { table } => table.owners.len(),
+            _ => 1,
+        };
+        1 + self
+            .puts
+            .iter()
+            .map(|put| put.value.as_ref().map_or(1, of_value))
+            .sum::<usize>()
+    }
+
     /// Tells two change sets under one id apart.
     pub fn digest(&self) -> u64 {
         steady_hash(&format!("{:?}", self.puts))
--- a/crates/caperworks/src/dispatch.rs
+++ b/crates/caperworks/src/dispatch.rs
@@ -327,11 +327,14 @@
 }
 
 /// What a proxy knows of the world, as its agent last told it.
+///
+/// Why the books and the table are shared: most news is of instances, and a proxy copies its
+/// knowledge for every piece of news; the standing orders may be many thousand.
 #[derive(Debug, Clone, Default)]
 pub struct ProxyKnowledge {
     pub fresh_until: Duration,
-    pub books: Follower,
-    pub table: RuleTable,
+    pub books: Arc<Follower>,
+    pub table: Arc<RuleTable>,
     pub instances: BTreeMap<InstanceId, Beat>,
     pub by_pool: HashMap<PoolName, Vec<InstanceId>>,
     pub closed: BTreeSet<Area>,
@@ -343,9 +346,9 @@
     /// Takes what the agent told in answer to a question asked at `asked_at`.
     pub fn take(&mut self, asked_at: Duration, view: &ProxyView) {
         for news in &view.news {
-            if self.books.take(news) == Some(BookName::Standing) {
+            if Arc::make_mut(&mut self.books).take(news) == Some(BookName::Standing) {
                 let standing = self.books.book(BookName::Standing);
-                self.table = RuleTable::of(standing);
+                self.table = Arc::new(RuleTable::of(standing));
                 self.closed = standing
                     .areas()
                     .filter(|(_, order)| order.closed)
--- a/crates/caperworks/src/facts.rs
+++ b/crates/caperworks/src/facts.rs
@@ -106,6 +106,14 @@
         let newcomer = self.known.get(&heard.beat.id).is_none_or(|kept| {
             kept.fact.incarnation != heard.beat.incarnation || kept.fact.address != address
         });
+        // Why by when it was heard: a late beat of the one before, passed on by a third node, must
+        // not push out the one that took its address over.
+        let outdone = self.known.iter().any(|(id, kept)| {
+            *id != heard.beat.id && kept.fact.address == address && kept.heard_at >= heard_at
+        });
+        if newcomer && outdone {
+            return false;
+        }
         if newcomer {
             self.known
                 .retain(|id, kept| *id == heard.beat.id || kept.fact.address != address);
--- a/crates/caperworks/src/feed.rs
+++ b/crates/caperworks/src/feed.rs
@@ -65,11 +65,65 @@
     }
 }
 
+/// How much a copy keeps at hand for followers that are a little behind, by [`Change::weight`].
+pub const HISTORY_WEIGHT: usize = 4096;
+
+/// The changes of late of one book.
+///
+/// Why bounded by weight and not by count: one mapping of a fleet with very many rules is as large
+/// as the book, and a few hundred of them would be more than a small machine has.
+#[derive(Debug, Clone, Default)]
+pub struct History {
+    changes: VecDeque<NumberedChange>,
+    weight: usize,
+}
+
+impl History {
+    pub fn push(&mut self, numbered: NumberedChange) {
+        self.weight += numbered.change.weight();
+        self.changes.push_back(numbered);
+        while self.weight > HISTORY_WEIGHT {
+            let Some(oldest) = self.changes.pop_front() else {
+                return;
+            };
+            self.weight -= oldest.change.weight();
+        }
+    }
+
+    pub fn clear(&mut self) {
+        self.changes.clear();
+        self.weight = 0;
+    }
+
+    /// What a copy that holds `after` needs to come up to `book`: changes, or the whole book.
+    pub fn news_after(&self, name: BookName, book: &Book, after: Edition) -> Option<Vote> {
+        if after >= book.edition {
+            return None;
+        }
+        let reaches = self
+            .changes
+            .front()
+            .is_some_and(|first| first.edition <= after.next());
+        Some(if reaches {
+            let later = |numbered: &&NumberedChange| numbered.edition > after;
+            Vote::News {
+                book: name,
+                changes: self.changes.iter().filter(later).cloned().collect(),
+            }
+        } else {
+            Vote::Whole {
+                book: name,
+                whole: book.clone(),
+            }
+        })
+    }
+}
+
 /// What a node that answers followers needs: the books, and the changes of late.
 #[derive(Debug, Clone, Default)]
 pub struct Shelf {
     follower: Follower,
-    histories: BTreeMap<BookName, VecDeque<NumberedChange>>,
+    histories: BTreeMap<BookName, History>,
 }
 
 impl Shelf {
@@ -86,14 +140,8 @@
         let history = self.histories.entry(moved).or_default();
         match news {
             Vote::News { changes, .. } => {
-                history.extend(
-                    changes
-                        .iter()
-                        .filter(|change| change.edition > before)
-                        .cloned(),
-                );
-                while history.len() > HISTORY {
-                    history.pop_front();
+                for numbered in changes.iter().filter(|numbered| numbered.edition > before) {
+                    history.push(numbered.clone());
                 }
             }
             _ => history.clear(),
@@ -103,26 +151,9 @@
 
     pub fn news_after(&self, name: BookName, after: Edition) -> Option<Vote> {
         let book = self.follower.book(name);
-        if after >= book.edition {
-            return None;
+        match self.histories.get(&name) {
+            Some(history) => history.news_after(name, book, after),
+            None => History::default().news_after(name, book, after),
         }
-        let history = self.histories.get(&name);
-        let reaches = history
-            .and_then(VecDeque::front)
-            .is_some_and(|first| first.edition <= after.next());
-        Some(match history {
-            Some(history) if reaches => Vote::News {
-                book: name,
-                changes: history
-                    .iter()
-                    .filter(|numbered| numbered.edition > after)
-                    .cloned()
-                    .collect(),
-            },
-            _ => Vote::Whole {
-                book: name,
-                whole: book.clone(),
-            },
-        })
     }
 }
--- a/crates/caperworks/tests/core_stories.rs
+++ b/crates/caperworks/tests/core_stories.rs
@@ -449,7 +449,7 @@
         shelf.news_after(BookName::Standing, Edition(3)),
         Some(Vote::News { changes, .. }) if changes.len() == 1
     ));
-    for edition in 5..400 {
+    for edition in 5..HISTORY_WEIGHT as u64 {
         shelf.take(&news(edition, edition));
     }
     assert!(matches!(
@@ -560,7 +560,11 @@
         "another took the address"
     );
     assert!(instances.get(&InstanceId::new("one")).is_none());
-    // The one before beats on for a moment: it must not push the newcomer out by an old beat.
+    // A beat of the one before comes late, passed on by a third: it must not push out the newcomer.
+    let mut stale = beat("one", 2, 6, 7001);
+    stale.age = millis(500);
+    assert!(!instances.hear(millis(400), &stale));
+    assert!(instances.get(&InstanceId::new("two")).is_some());
     let mut late = beat("one", 2, 6, 7002);
     late.age = millis(2900);
     assert!(instances.hear(millis(3000), &late));
--- a/crates/caperworks/tests/dispatch_stories.rs
+++ b/crates/caperworks/tests/dispatch_stories.rs
@@ -323,7 +323,9 @@
             edition: Edition(edition),
             change,
         }];
-        assert!(known.books.take(&Vote::News { book, changes }).is_some());
+        assert!(Arc::make_mut(&mut known.books)
+            .take(&Vote::News { book, changes })
+            .is_some());
     }
     let mut shard = PoolShard::new(1);
     let own = Area::new("e1");
--- a/crates/rehearsal/src/actors.rs
+++ b/crates/rehearsal/src/actors.rs
@@ -188,7 +188,7 @@
         };
         let asked_at = *asked_at;
         if self.broken == BrokenProxy::GoesBack && view.number.is_multiple_of(40) {
-            self.knowledge.books = Follower::default();
+            self.knowledge.books = Arc::default();
         }
         let mut view = view.clone();
         if self.broken == BrokenProxy::IgnoresLeaving {
--- a/crates/toolroom/src/prelude.rs
+++ b/crates/toolroom/src/prelude.rs
@@ -3,7 +3,7 @@
 pub use std::future::Future;
 pub use std::path::{Path, PathBuf};
 pub use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-pub use std::sync::{Arc, Mutex, MutexGuard};
+pub use std::sync::{Mutex, MutexGuard};
 pub use std::time::Instant;
 
 pub use anyhow::{anyhow, bail, Context as AnyhowContext};
