Split a site's proxies among rules by what is expected at that very site

Cause: a site's capacity was split by each rule's part of the whole demand, as if every rule used every site. A rule bound to one region got too little of its two sites; both were full, units at their last choice outranked those at their first, and each solve swapped the two halves. Ruled out: wavering demand.

--- a/crates/caperworks/src/placement.rs
+++ b/crates/caperworks/src/placement.rs
@@ -363,11 +363,30 @@
                 groups.push((group.clone(), measured.demand.ceil().max(1.0) as u32));
             }
         }
-        let total: u64 = by_rule
-            .values()
-            .flatten()
-            .map(|(_, units)| u64::from(*units))
-            .sum();
+        let may_use = |rule: &Rule, area: &Area| {
+            rule.home.is_none() || regions.get(area) == rule.home.as_ref()
+        };
+        // What each rule is expected to bring to a site if it spreads over all it may use.
+        let expected: BTreeMap<RuleName, f64> = view
+            .standing
+            .rules()
+            .map(|(name, rule)| {
+                let wanted = by_rule.get(&name).into_iter().flatten();
+                let demand: f64 = wanted.map(|(_, units)| f64::from(*units)).sum();
+                let usable: f64 = open
+                    .iter()
+                    .filter(|(area, _)| may_use(rule, area))
+                    .map(|(_, capacity)| f64::from(*capacity))
+                    .sum();
+                (name, demand / usable.max(1.0))
+            })
+            .collect();
+        let mut expected_at: BTreeMap<&Area, f64> = BTreeMap::new();
+        for (name, rule) in view.standing.rules() {
+            for area in open.keys().filter(|area| may_use(rule, area)) {
+                *expected_at.entry(area).or_default() += expected[&name];
+            }
+        }
         let last: HashMap<(&str, &RuleName), &GroupPlacement> = view
             .last
             .iter()
@@ -379,14 +398,14 @@
             let Some(wanted) = by_rule.get(&name) else {
                 continue;
             };
-            let demand: u64 = wanted.iter().map(|(_, units)| u64::from(*units)).sum();
             let sites: Vec<Site> = open
                 .iter()
-                .filter(|(area, _)| rule.home.is_none() || regions.get(*area) == rule.home.as_ref())
+                .filter(|(area, _)| may_use(rule, area))
                 .map(|(area, proxies)| {
-                    // Why by demand: a site's proxies serve all rules, so each gets of them as
-                    // much as it asks of the whole.
-                    let share = (u64::from(*proxies) * demand).div_ceil(total.max(1)) as u32;
+                    // Why by what is expected at this very site: its proxies serve all rules that
+                    // may use it, and one that is bound to few sites needs more of each of them.
+                    let part = expected[&name] / expected_at[area].max(f64::MIN_POSITIVE);
+                    let share = (f64::from(*proxies) * part).ceil() as u32;
                     let behind = instance_capacity
                         .get(&(rule.pool.clone(), area.clone()))
                         .copied()
--- a/crates/caperworks/tests/placement_stories.rs
+++ b/crates/caperworks/tests/placement_stories.rs
@@ -246,11 +246,15 @@
     }
 
     fn proxy_says(&mut self, now: Duration, area: &str, ready: bool, orders: u32) {
+        self.proxy_measures(now, area, ready, "progress", orders);
+    }
+
+    fn proxy_measures(&mut self, now: Duration, area: &str, ready: bool, rule: &str, orders: u32) {
         self.counter += 1;
         let address = SocketAddr::from(([127, 0, 0, 1], 9000 + (steady_hash(area) % 900) as u16));
         let demand = Demand {
             group: "10.1.2.0/24".to_string(),
-            rule: RuleName::new("progress"),
+            rule: RuleName::new(rule),
             orders,
             locality: Duration::from_millis(if area.starts_with('e') { 2 } else { 50 }),
         };
@@ -401,3 +405,37 @@
         vec![alive[0].1]
     );
 }
+
+#[test]
+fn given_a_rule_bound_to_one_region_when_others_use_all_sites_then_it_gets_its_part_of_the_two() {
+    let mut bench = Bench::new(Some("east"));
+    let mut other = bench.standing.items["rule/progress"].value.clone();
+    if let Value::Rule { rule } = &mut other {
+        rule.home = None;
+        rule.host = "other.example".to_string();
+    }
+    let put = Put {
+        key: "rule/other".to_string(),
+        expected: None,
+        value: Some(other),
+    };
+    let id = ChangeId::new("other");
+    bench.standing.apply(&Change {
+        id,
+        puts: vec![put],
+        guards: Vec::new(),
+    });
+    let now = Duration::from_secs(2);
+    bench.proxy_measures(now, "e1", true, "progress", 60);
+    bench.proxy_measures(now, "w1", true, "other", 150);
+    let mapping = bench.solves(&mut Solver::default(), 2, None);
+    let bound: Vec<&GroupPlacement> = mapping
+        .groups
+        .iter()
+        .filter(|placement| placement.rule.as_str() == "progress" && placement.group != "*")
+        .collect();
+    let most = bound[0].shares.iter().map(|share| share.units).max();
+    // Half of all sites' proxies are in its reach, and what the others bring there is a quarter.
+    assert!(most >= Some(40), "its first site takes only {most:?} of 60");
+    assert_eq!(bound[0].unplaced, 0);
+}
--- a/crates/rehearsal/src/observers.rs
+++ b/crates/rehearsal/src/observers.rs
@@ -68,6 +68,9 @@
     pub unknown_changes: u64,
     pub no_majority: u64,
     pub recoveries: Vec<Duration>,
+    /// Mappings written, and of the parts of groups that they placed, how many in a hundred moved.
+    pub mappings: u64,
+    pub moved_percent: u64,
     /// Why orders were refused or lost, as the proxies said.
     pub mishaps: BTreeMap<&'static str, u64>,
 }
@@ -97,6 +100,7 @@
     /// Served and sent by second, for the recovery line.
     seconds: BTreeMap<u64, (u64, u64)>,
     big_faults: Vec<Duration>,
+    last_mapping: Option<(Edition, Mapping)>,
 }
 
 /// What an instance was sent, as seen when it got there.
@@ -145,6 +149,45 @@
         }
     }
 
+    /// A ledger holds a mapping; counts how much of each group a new one moves.
+    pub fn mapped(&mut self, edition: Edition, mapping: &Mapping) {
+        let Some((known, last)) = &self.last_mapping else {
+            self.last_mapping = Some((edition, mapping.clone()));
+            return;
+        };
+        if edition <= *known {
+            return;
+        }
+        let part = |placement: &GroupPlacement, area: &Area| -> f64 {
+            let total: u32 = placement.shares.iter().map(|share| share.units).sum();
+            let units = placement
+                .shares
+                .iter()
+                .find(|share| share.area == *area)
+                .map_or(0, |share| share.units);
+            f64::from(units) / f64::from(total.max(1))
+        };
+        let (mut moved, mut groups) = (0.0, 0.0);
+        for after in &mapping.groups {
+            let before = last
+                .groups
+                .iter()
+                .find(|before| before.group == after.group && before.rule == after.rule);
+            let Some(before) = before.filter(|_| after.group != UNSEEN_GROUP) else {
+                continue;
+            };
+            groups += 1.0;
+            moved += after
+                .shares
+                .iter()
+                .map(|share| (part(after, &share.area) - part(before, &share.area)).max(0.0))
+                .sum::<f64>();
+        }
+        self.tally.mappings += 1;
+        self.tally.moved_percent += (100.0 * moved / f64::max(groups, 1.0)) as u64;
+        self.last_mapping = Some((edition, mapping.clone()));
+    }
+
     /// The work of an order took effect.
     pub fn ran(&mut self, at: Duration, order: u64, instance: &InstanceId) {
         let runs = self.runs.entry(order).or_default();
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -115,7 +115,7 @@
     },
 }
 
-enum Event {
+enum Due {
     At {
         node: usize,
         life: u64,
@@ -134,7 +134,7 @@
 struct Queued {
     at: Duration,
     number: u64,
-    event: Event,
+    event: Due,
 }
 
 impl PartialEq for Queued {
@@ -289,16 +289,16 @@
             self.start(place);
         }
         for kind in 0..self.scenario.traffic.len() {
-            self.push(self.day.traffic_from, Event::Caller { kind });
+            self.push(self.day.traffic_from, Due::Caller { kind });
         }
-        self.push(Duration::from_millis(1500), Event::Operator);
+        self.push(Duration::from_millis(1500), Due::Operator);
         for place in 0..self.day.faults.len() {
-            self.push(self.day.faults[place].at, Event::Fault { place });
+            self.push(self.day.faults[place].at, Due::Fault { place });
         }
-        self.push(OBSERVE_PERIOD, Event::Observe);
+        self.push(OBSERVE_PERIOD, Due::Observe);
     }
 
-    fn push(&mut self, at: Duration, event: Event) {
+    fn push(&mut self, at: Duration, event: Due) {
         self.queued += 1;
         let number = self.queued;
         self.queue.push(Queued { at, number, event });
@@ -308,7 +308,7 @@
         let life = self.nodes[node].life;
         self.push(
             self.now + after,
-            Event::At {
+            Due::At {
                 node,
                 life,
                 happening,
@@ -517,18 +517,18 @@
             }
             self.now = queued.at;
             match queued.event {
-                Event::At {
+                Due::At {
                     node,
                     life,
                     happening,
                 } => self.happen(node, life, happening),
-                Event::Caller { kind } => self.caller(kind),
-                Event::Operator => self.operator(),
-                Event::Fault { place } => {
+                Due::Caller { kind } => self.caller(kind),
+                Due::Operator => self.operator(),
+                Due::Fault { place } => {
                     let fault = self.day.faults[place].clone();
                     self.fault(&fault);
                 }
-                Event::Observe => self.observe(),
+                Due::Observe => self.observe(),
             }
         }
         self.now = end;
@@ -789,6 +789,18 @@
                 }
                 LedgerOutput::Note { event } => {
                     let name = self.nodes[place].name.clone();
+                    if let (
+                        Event::BookMoved {
+                            book: BookName::Placement,
+                            edition,
+                        },
+                        Some(Body::Ledger(machine)),
+                    ) = (&event, &self.nodes[place].body)
+                    {
+                        if let Some(mapping) = machine.board.book(BookName::Placement).mapping() {
+                            self.observers.mapped(*edition, mapping);
+                        }
+                    }
                     self.observers.noted(self.now, name, event);
                 }
             }
@@ -1116,7 +1128,7 @@
     }
 
     fn observe(&mut self) {
-        self.push(self.now + OBSERVE_PERIOD, Event::Observe);
+        self.push(self.now + OBSERVE_PERIOD, Due::Observe);
         let mut live: Vec<(&PoolName, &InstanceId, Vec<u32>, Duration)> = Vec::new();
         for place in 0..self.nodes.len() {
             if let Some(Body::Instance(instance)) = &self.nodes[place].body {
@@ -1156,7 +1168,7 @@
         let mean = 100_000_000 / rate;
         let next = Duration::from_micros(mean / 2 + self.chance.below(mean + 1));
         if self.now + next < self.day.traffic_until {
-            self.push(self.now + next, Event::Caller { kind });
+            self.push(self.now + next, Due::Caller { kind });
         }
         self.next_order += 1;
         let number = self.next_order;
@@ -1226,7 +1238,7 @@
         let first = self.next_call == 0;
         let pause = self.chance.between(every / 2, every * 3 / 2);
         if self.now + pause < self.day.length.saturating_sub(Duration::from_secs(4)) {
-            self.push(self.now + pause, Event::Operator);
+            self.push(self.now + pause, Due::Operator);
         }
         if first {
             let text = self.scenario.standing().dump();
