--- a/crates/cuesheet/src/main.rs
+++ b/crates/cuesheet/src/main.rs
@@ -85,7 +85,7 @@
     start_log()?;
     let clock = Clock::start();
     let options = CuesheetOptions {
-        control: place.control,
+        control: place.advertise,
         serving: place.serving,
         area: place.area.clone(),
         seeds: place.seeds.clone(),
@@ -94,7 +94,7 @@
     let node = machine.node();
     let machine = Arc::new(Mutex::new(machine));
     let (inbox, receiver) = Inbox::open();
-    let port = ControlPort::open(node, place.control, move |envelope| {
+    let port = ControlPort::open(node, place.control, place.advertise, move |envelope| {
         inbox.give(CuesheetInput::Heard { envelope });
     })
     .await?;
--- a/crates/ledger/src/main.rs
+++ b/crates/ledger/src/main.rs
@@ -239,14 +239,19 @@
     let slot_room = place.slot_megabytes * 1024 * 1024;
     let log_room = place.log_megabytes * 1024 * 1024;
     let folder = DataFolder::open(&place.data, slot_room, log_room)?;
-    let options = LedgerOptions::new(place.control, place.area.clone(), place.seeds.clone())
+    let options = LedgerOptions::new(place.advertise, place.area.clone(), place.seeds.clone())
         .disk_room(slot_room, log_room);
     let (machine, outputs) = LedgerMachine::start(options, &folder.image()?, fresh_seed());
     let (inbox, receiver) = Inbox::open();
     let heard = inbox.clone();
-    let port = ControlPort::open(machine.node(), place.control, move |envelope| {
-        heard.give(LedgerInput::Heard { envelope });
-    })
+    let port = ControlPort::open(
+        machine.node(),
+        place.control,
+        place.advertise,
+        move |envelope| {
+            heard.give(LedgerInput::Heard { envelope });
+        },
+    )
     .await?;
     let written = inbox.clone();
     let disk = folder.start_writer(move |ticket, well| {
--- a/crates/mentor/src/main.rs
+++ b/crates/mentor/src/main.rs
@@ -71,16 +71,21 @@
     start_log()?;
     let clock = Clock::start();
     let options = MentorOptions {
-        control: place.control,
+        control: place.advertise,
         area: place.area.clone(),
         seeds: place.seeds.clone(),
     };
     let machine = MentorMachine::start(options, fresh_seed());
     let (inbox, receiver) = Inbox::open();
     let heard = inbox.clone();
-    let port = ControlPort::open(machine.node(), place.control, move |envelope| {
-        heard.give(MentorInput::Heard { envelope });
-    })
+    let port = ControlPort::open(
+        machine.node(),
+        place.control,
+        place.advertise,
+        move |envelope| {
+            heard.give(MentorInput::Heard { envelope });
+        },
+    )
     .await?;
     event(
         STARTED,
--- a/crates/playout/src/main.rs
+++ b/crates/playout/src/main.rs
@@ -65,17 +65,22 @@
     let carrier = Arc::new(Carrier::new(clock, &place));
     let asked: Asked = Arc::default();
     let (taking, answers) = (carrier.clone(), asked.clone());
-    let port = ControlPort::open(NodeId(fresh_seed() >> 1), place.control, move |envelope| {
-        if let Message::View { view } = envelope.message {
-            let asked_at = locked(&answers)
-                .iter()
-                .find(|(number, _)| *number == view.number)
-                .map(|(_, asked_at)| *asked_at);
-            if let Some(asked_at) = asked_at {
-                taking.take(asked_at, &view);
+    let port = ControlPort::open(
+        NodeId(fresh_seed() >> 1),
+        place.control,
+        place.control,
+        move |envelope| {
+            if let Message::View { view } = envelope.message {
+                let asked_at = locked(&answers)
+                    .iter()
+                    .find(|(number, _)| *number == view.number)
+                    .map(|(_, asked_at)| *asked_at);
+                if let Some(asked_at) = asked_at {
+                    taking.take(asked_at, &view);
+                }
             }
-        }
-    })
+        },
+    )
     .await?;
     event(
         STARTED,
--- a/crates/rehearsal/tests/observers.rs
+++ b/crates/rehearsal/tests/observers.rs
@@ -144,3 +144,17 @@
         day.careless_instances = true
     });
 }
+
+#[test]
+fn given_proxies_that_ignore_staleness_when_a_cut_off_zone_is_closed_then_it_is_seen() {
+    is_caught("close-while-cut", Line::ClosedArea, |day| {
+        day.broken_proxy = BrokenProxy::IgnoresStaleness;
+    });
+}
+
+#[test]
+fn given_proxies_that_ignore_leaving_when_agents_are_cut_off_then_it_is_seen() {
+    is_caught("leave-while-cut", Line::ReachedLeaving, |day| {
+        day.broken_proxy = BrokenProxy::IgnoresLeaving;
+    });
+}
--- a/crates/toolroom/src/circuits.rs
+++ b/crates/toolroom/src/circuits.rs
@@ -22,14 +22,14 @@
 }
 
 impl ControlPort {
-    /// Listens on the address and hands every envelope heard to `hear`.
+    /// Listens on the address and hands every envelope heard to `hear`; others answer to `own`.
     pub async fn open(
         node: NodeId,
+        listening: SocketAddr,
         own: SocketAddr,
         hear: impl Fn(Envelope) + Clone + Send + Sync + 'static,
     ) -> anyhow::Result<Self> {
-        let listener = listen(own).await?;
-        let own = listener.local_addr()?;
+        let listener = listen(listening).await?;
         tokio::spawn(async move {
             loop {
                 match listener.accept().await {
@@ -66,7 +66,12 @@
             reply_to: self.own,
             message,
         };
-        let Ok(bytes) = minicbor::to_vec(&envelope) else {
+        self.forward(to, &envelope);
+    }
+
+    /// Sends an envelope as it is, in whosever name it was written.
+    pub fn forward(&self, to: SocketAddr, envelope: &Envelope) {
+        let Ok(bytes) = minicbor::to_vec(envelope) else {
             return;
         };
         let bytes = Arc::new(bytes);
--- a/crates/toolroom/src/options.rs
+++ b/crates/toolroom/src/options.rs
@@ -41,6 +41,7 @@
 pub struct PlaceFlags {
     pub file: Option<PathBuf>,
     pub control: Option<String>,
+    pub advertise: Option<String>,
     pub serving: Option<String>,
     pub area: Option<String>,
     pub seeds: Vec<String>,
@@ -57,6 +58,10 @@
         .help("Address for our own processes, IP:PORT")
         .argument::<String>("ADDRESS")
         .optional();
+    let advertise = long("advertise")
+        .help("Address that others reach the control address at, when it is another")
+        .argument::<String>("ADDRESS")
+        .optional();
     let serving = long("serving")
         .help("Address for HTTP, IP:PORT")
         .argument::<String>("ADDRESS")
@@ -80,6 +85,7 @@
     construct!(PlaceFlags {
         file,
         control,
+        advertise,
         serving,
         area,
         seeds,
@@ -92,6 +98,8 @@
 #[derive(Debug, Clone)]
 pub struct Place {
     pub control: SocketAddr,
+    /// Where others reach the control address.
+    pub advertise: SocketAddr,
     pub serving: SocketAddr,
     pub area: Area,
     pub seeds: Vec<SocketAddr>,
@@ -102,8 +110,17 @@
     pub agent: Option<SocketAddr>,
 }
 
-const KNOWN: [&str; 9] = [
-    "control", "serving", "area", "seeds", "data", "slot_mb", "log_mb", "capacity", "agent",
+const KNOWN: [&str; 10] = [
+    "control",
+    "advertise",
+    "serving",
+    "area",
+    "seeds",
+    "data",
+    "slot_mb",
+    "log_mb",
+    "capacity",
+    "agent",
 ];
 
 /// Reads a JSON file of the operator's.
@@ -168,6 +185,7 @@
         let control = address("control", flags.control.as_deref(), &mut fault);
         let serving = address("serving", flags.serving.as_deref(), &mut fault);
         let agent = address("agent", None, &mut fault);
+        let advertise = address("advertise", flags.advertise.as_deref(), &mut fault);
         let area = flags
             .area
             .clone()
@@ -227,6 +245,7 @@
         if faults.is_empty() {
             Ok(Self {
                 control: control.unwrap_or(blank),
+                advertise: advertise.or(control).unwrap_or(blank),
                 serving: serving.unwrap_or(blank),
                 area: Area::new(area),
                 seeds,
--- /dev/null
+++ b/crates/workshop/src/drill.rs
@@ -0,0 +1,339 @@
+//! Drills: a written run of harm to a real fleet under load, judged from the records at its end.
+
+use crate::prelude::*;
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Act {
+    Signal(i32),
+    Start,
+    Cut { one_way: bool },
+    Join,
+    Ail { kind: String, count: u32 },
+    Area { closed: bool },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct DrillStep {
+    pub at: Duration,
+    pub act: Act,
+    pub targets: Vec<String>,
+}
+
+#[derive(Debug, Clone)]
+pub struct Drill {
+    pub scenario: PathBuf,
+    pub seconds: u64,
+    pub percent: u32,
+    pub served_at_least: u64,
+    pub steps: Vec<DrillStep>,
+}
+
+fn read_act(step: &JsonValue) -> Option<Act> {
+    Some(match step["act"].as_str()? {
+        "kill" => Act::Signal(libc::SIGKILL),
+        "stop" => Act::Signal(libc::SIGTERM),
+        "freeze" => Act::Signal(libc::SIGSTOP),
+        "wake" => Act::Signal(libc::SIGCONT),
+        "start" => Act::Start,
+        "cut" => Act::Cut { one_way: false },
+        "cut-one-way" => Act::Cut { one_way: true },
+        "join" => Act::Join,
+        "ail" => Act::Ail {
+            kind: step["kind"].as_str()?.to_string(),
+            count: step["count"].as_u32().unwrap_or(1),
+        },
+        "close-area" => Act::Area { closed: true },
+        "open-area" => Act::Area { closed: false },
+        _ => return None,
+    })
+}
+
+impl Drill {
+    /// Reads and checks a drill's file against its scenario; nothing is started over a faulty one.
+    pub fn read(path: &Path) -> Result<Self, Vec<OptionsFault>> {
+        let value = read_json_file(path).map_err(|fault| vec![fault])?;
+        let mut faults = Vec::new();
+        let mut fault = |field: String, remedy: String| {
+            let file = path.display().to_string();
+            faults.push(OptionsFault {
+                file,
+                field,
+                remedy,
+            });
+        };
+        let known = [
+            "why",
+            "scenario",
+            "seconds",
+            "percent",
+            "served_at_least",
+            "steps",
+        ];
+        for (name, _) in value.entries() {
+            if !known.contains(&name) {
+                fault(
+                    name.to_string(),
+                    "is not a known field: remove it".to_string(),
+                );
+            }
+        }
+        let folder = path.parent().unwrap_or(Path::new("."));
+        let scenario = folder.join(value["scenario"].as_str().unwrap_or_default());
+        let hands: Vec<Hand> = match Scenario::read(&scenario) {
+            Ok(scenario) => Fleet::plan(&scenario, Path::new("/nowhere"), 1).hands,
+            Err(more) => {
+                faults.extend(more);
+                return Err(faults);
+            }
+        };
+        let mut steps = Vec::new();
+        for (place, step) in value["steps"].members().enumerate() {
+            let targets: Vec<String> = step["targets"]
+                .members()
+                .map(|name| name.as_str().unwrap_or_default().to_string())
+                .collect();
+            for name in &targets {
+                let found = hands
+                    .iter()
+                    .any(|hand| hand.name == *name || hand.program == *name || hand.area == *name);
+                if !found {
+                    let remedy = format!("{name} is no process, program or area of the scenario");
+                    fault(format!("steps[{place}].targets"), remedy);
+                }
+            }
+            match (step["at_ms"].as_u64(), read_act(step)) {
+                (Some(at), Some(act)) => steps.push(DrillStep {
+                    at: Duration::from_millis(at),
+                    act,
+                    targets,
+                }),
+                _ => fault(
+                    format!("steps[{place}].act"),
+                    "give at_ms and a known act: kill, stop, freeze, wake, start, cut, \
+                     cut-one-way, join, ail, close-area or open-area"
+                        .to_string(),
+                ),
+            }
+        }
+        if !faults.is_empty() {
+            return Err(faults);
+        }
+        Ok(Self {
+            scenario,
+            seconds: value["seconds"].as_u64().unwrap_or(30),
+            percent: value["percent"].as_u32().unwrap_or(100),
+            served_at_least: value["served_at_least"].as_u64().unwrap_or(50),
+            steps,
+        })
+    }
+}
+
+/// Changes sent all through a drill, and what was accepted of them.
+#[derive(Default)]
+struct Changes {
+    accepted: Vec<(u64, u64)>,
+    unknown: u64,
+}
+
+/// Tweaks one rule again and again, at one ledger after the other.
+async fn keep_changing(
+    ledgers: Vec<SocketAddr>,
+    stop: Arc<AtomicBool>,
+    changes: Arc<Mutex<Changes>>,
+) {
+    let mut number = 0;
+    while !stop.load(Ordering::SeqCst) {
+        number += 1;
+        let ledger = ledgers[(number % ledgers.len() as u64) as usize];
+        let rule = jzon::object! {
+            host: "drill.example", path: "/", pool: "records", deadline_ms: 1000 + number,
+        };
+        let put = jzon::object! { kind: "rule", name: "drill", rule: rule };
+        let change = jzon::object! { id: format!("drill-{number}"), put: [put] };
+        let sent = Fetch::post(ledger, "/v1/standing", change.dump())
+            .patience(Duration::from_secs(4))
+            .send()
+            .await;
+        match sent {
+            Ok(fetched) if fetched.status == 200 => {
+                let edition = fetched.json()["edition"].as_u64().unwrap_or(0);
+                locked(&changes).accepted.push((edition, number));
+            }
+            Ok(fetched) if fetched.json()["outcome"] == "refused" => {}
+            _ => locked(&changes).unknown += 1,
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+}
+
+/// Whether the last accepted change reads back: it, or a later one whose answer was lost.
+async fn reads_back(ledgers: &[SocketAddr], changes: &Changes) -> bool {
+    let Some((edition, number)) = changes.accepted.iter().max().copied() else {
+        return false;
+    };
+    let mut read = 0;
+    for ledger in ledgers {
+        let fetch = Fetch::get(*ledger, "/v1/standing/rule/drill").send().await;
+        let Ok(fetched) = fetch else {
+            continue;
+        };
+        if fetched.status != 200 {
+            continue;
+        }
+        let json = fetched.json();
+        let found = json["edition"].as_u64().unwrap_or(0);
+        let value = json["rule"]["deadline_ms"].as_u64().unwrap_or(0);
+        let same = found == edition && value == 1000 + number;
+        if !same && (found <= edition || changes.unknown == 0) {
+            println!(
+                "{ledger} reads {value} at {found}, accepted was {} at {edition}",
+                1000 + number
+            );
+            return false;
+        }
+        read += 1;
+    }
+    read > 0
+}
+
+async fn carry_out(fleet: &mut Fleet, step: &DrillStep) -> anyhow::Result<()> {
+    let places: Vec<usize> = step
+        .targets
+        .iter()
+        .flat_map(|name| fleet.named(name))
+        .collect();
+    match &step.act {
+        Act::Signal(signal) => {
+            for place in places {
+                fleet.hands[place].signal(*signal);
+            }
+        }
+        Act::Start => {
+            for place in places {
+                fleet.start(place)?;
+            }
+            fleet.save()?;
+        }
+        Act::Cut { one_way } => fleet.cut(&places, *one_way).await?,
+        Act::Join => fleet.join().await?,
+        Act::Ail { kind, count } => {
+            for place in places {
+                let body = jzon::object! { kind: kind.as_str(), count: *count }.dump();
+                let to = fleet.hands[place].serving;
+                // Why ignored: an instance that is down cannot ail.
+                let _ = Fetch::post(to, "/understudy/ail", body).send().await;
+            }
+        }
+        Act::Area { closed } => {
+            let scenario =
+                Scenario::read(&fleet.scenario).map_err(|faults| anyhow!("{faults:?}"))?;
+            for (area, region) in &scenario.areas {
+                if !step.targets.contains(area) {
+                    continue;
+                }
+                let order = jzon::object! { region: region.as_str(), closed: *closed };
+                let put = jzon::object! { kind: "area", name: area.as_str(), area: order };
+                let id = format!("turn-{area}-{closed}-{}", step.at.as_millis());
+                let change = jzon::object! { id: id, put: [put] }.dump();
+                for ledger in fleet.of("ledger") {
+                    let sent = Fetch::post(ledger, "/v1/standing", change.clone())
+                        .send()
+                        .await;
+                    if sent.is_ok_and(|fetched| fetched.status == 200) {
+                        break;
+                    }
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Runs a drill; says whether the run was good.
+pub async fn run(run: &Path, drill: &Drill, base: u16) -> anyhow::Result<bool> {
+    up(run, &drill.scenario, base, true).await?;
+    let run = run.canonicalize()?;
+    let mut fleet = Fleet::load(&run).map_err(|fault| anyhow!("{fault}"))?;
+    let record = run.join("told");
+    // Why removed: the record of an earlier run is not of this fleet.
+    let _ = std::fs::remove_file(&record);
+    let programs = std::env::current_exe()?
+        .parent()
+        .context("no folder")?
+        .to_path_buf();
+    let mut calling = std::process::Command::new(programs.join("caller"));
+    for directory in fleet.of("cuesheet") {
+        calling.args(["--directory", &directory.to_string()]);
+    }
+    calling.arg("--scenario").arg(&drill.scenario);
+    calling.args(["--seconds", &drill.seconds.to_string()]);
+    calling.args(["--percent", &drill.percent.to_string()]);
+    calling.arg("--record").arg(&record);
+    let mut callers = calling
+        .stdout(std::fs::File::create(run.join("callers.json"))?)
+        .spawn()
+        .context("cannot start caller")?;
+    let stop = Arc::new(AtomicBool::new(false));
+    let changes: Arc<Mutex<Changes>> = Arc::default();
+    let ledgers = fleet.of("ledger");
+    let changing = tokio::spawn(keep_changing(
+        ledgers.clone(),
+        stop.clone(),
+        changes.clone(),
+    ));
+    let start = Instant::now();
+    for step in &drill.steps {
+        tokio::time::sleep(step.at.saturating_sub(start.elapsed())).await;
+        event(
+            RUN_STEP,
+            format!("{:?} {}", step.act, step.targets.join(" ")),
+        );
+        carry_out(&mut fleet, step).await?;
+    }
+    while callers.try_wait()?.is_none() {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    stop.store(true, Ordering::SeqCst);
+    changing.await?;
+    until(
+        "the ledgers agree again",
+        Duration::from_secs(30),
+        async || {
+            for ledger in &ledgers {
+                let read = status_of(*ledger, "/v1/standing").await;
+                if read.is_none_or(|fetched| fetched.status != 200) {
+                    return false;
+                }
+            }
+            true
+        },
+    )
+    .await?;
+    let kept = {
+        let changes = std::mem::take(&mut *locked(&changes));
+        println!(
+            "changes accepted {}, unknown {}",
+            changes.accepted.len(),
+            changes.unknown
+        );
+        reads_back(&ledgers, &changes).await
+    };
+    let summary = std::fs::read_to_string(run.join("callers.json"))?;
+    let summary = jzon::parse(&summary)?;
+    let sent = summary["sent"].as_u64().unwrap_or(0);
+    let served = summary["served"].as_u64().unwrap_or(0);
+    let wrong: u64 = summary["kinds"]
+        .members()
+        .filter_map(|kind| kind["wrong"].as_u64())
+        .sum();
+    println!("served {served} of {sent}, wrong {wrong}, changes read back: {kept}");
+    let good = judge(&fleet, &[record])?;
+    down(&fleet).await;
+    let enough = sent > 0 && served * 100 >= sent * drill.served_at_least;
+    let verdict = good && kept && enough && wrong == 0;
+    event(
+        if verdict { RUN_STEP } else { RUN_FAILED },
+        format!("drill good: {verdict}"),
+    );
+    Ok(verdict)
+}
--- a/crates/workshop/src/fleet.rs
+++ b/crates/workshop/src/fleet.rs
@@ -10,6 +10,8 @@
     pub arguments: Vec<String>,
     pub area: String,
     pub serving: SocketAddr,
+    /// Where others reach its control port when a relay stands before it.
+    pub advertise: Option<SocketAddr>,
     pub process: i32,
 }
 
@@ -85,6 +87,7 @@
                 arguments,
                 area: area.to_string(),
                 serving: loopback(serving),
+                advertise: None,
                 process: 0,
             });
         };
@@ -158,6 +161,91 @@
         }
     }
 
+    /// Puts a relay before every control port that others reach; seeds are the relay's addresses.
+    pub fn put_relay(&mut self, base: u16) {
+        let mut next = base + 500;
+        let mut moved: BTreeMap<String, String> = BTreeMap::new();
+        let mut pairs = Vec::new();
+        for hand in &mut self.hands {
+            if !["ledger", "mentor", "cuesheet"].contains(&hand.program.as_str()) {
+                continue;
+            }
+            // Why the second: the first two arguments are --control and its address.
+            let control = hand.arguments[1].clone();
+            next += 1;
+            let advertise = loopback(next);
+            hand.advertise = Some(advertise);
+            hand.arguments
+                .extend(["--advertise".to_string(), advertise.to_string()]);
+            pairs.extend(["--pair".to_string(), format!("{advertise}={control}")]);
+            moved.insert(control, advertise.to_string());
+        }
+        for hand in &mut self.hands {
+            let mut seed = false;
+            for argument in &mut hand.arguments {
+                if seed {
+                    if let Some(advertised) = moved.get(argument) {
+                        argument.clone_from(advertised);
+                    }
+                }
+                seed = argument == "--seed";
+            }
+        }
+        let serving = loopback(base + 500);
+        let mut arguments = vec![
+            "--run".to_string(),
+            self.folder.display().to_string(),
+            "relay".to_string(),
+            "--serving".to_string(),
+            serving.to_string(),
+        ];
+        arguments.extend(pairs);
+        let relay = Hand {
+            name: "relay".to_string(),
+            program: "workshop".to_string(),
+            arguments,
+            area: String::new(),
+            serving,
+            advertise: None,
+            process: 0,
+        };
+        // Why first: the others reach each other through it from the start.
+        self.hands.insert(0, relay);
+    }
+
+    async fn tell_relay(&self, path: &str, body: JsonValue) -> anyhow::Result<()> {
+        let relay = self
+            .hands
+            .iter()
+            .find(|hand| hand.name == "relay")
+            .context("this fleet has no relay: start it with up --relay")?;
+        Fetch::post(relay.serving, path, body.dump()).send().await?;
+        Ok(())
+    }
+
+    /// Cuts what these processes and all others say to each other.
+    pub async fn cut(&self, places: &[usize], one_way: bool) -> anyhow::Result<()> {
+        let side = |inside: bool| -> Vec<String> {
+            (0..self.hands.len())
+                .filter(|place| places.contains(place) == inside)
+                .filter_map(|place| self.hands[place].advertise)
+                .map(|address| address.to_string())
+                .collect()
+        };
+        let (inside, outside) = (side(true), side(false));
+        let way = jzon::object! { from: inside.clone(), to: outside.clone() };
+        self.tell_relay("/cut", way).await?;
+        if !one_way {
+            let way = jzon::object! { from: outside, to: inside };
+            self.tell_relay("/cut", way).await?;
+        }
+        Ok(())
+    }
+
+    pub async fn join(&self) -> anyhow::Result<()> {
+        self.tell_relay("/join", JsonValue::new_object()).await
+    }
+
     fn file(folder: &Path) -> PathBuf {
         folder.join("fleet.json")
     }
@@ -173,6 +261,7 @@
                     arguments: hand.arguments.clone(),
                     area: hand.area.as_str(),
                     serving: hand.serving.to_string(),
+                    advertise: hand.advertise.map(|address| address.to_string()),
                     process: hand.process,
                 }
             })
@@ -200,6 +289,9 @@
                         .collect(),
                     area: hand["area"].as_str()?.to_string(),
                     serving: hand["serving"].as_str()?.parse().ok()?,
+                    advertise: hand["advertise"]
+                        .as_str()
+                        .and_then(|address| address.parse().ok()),
                     process: hand["process"].as_i32()?,
                 })
             })
--- a/crates/workshop/src/main.rs
+++ b/crates/workshop/src/main.rs
@@ -1,7 +1,9 @@
 //! `workshop`: a whole fleet on one machine, for trying things out and for doing it harm.
 
+mod drill;
 mod fleet;
 mod prelude;
+mod relay;
 
 use crate::prelude::*;
 
@@ -10,12 +12,36 @@
 
 #[derive(Debug, Clone)]
 enum Command {
-    Up { scenario: PathBuf, base: u16 },
+    Up {
+        scenario: PathBuf,
+        base: u16,
+        relay: bool,
+    },
     Down,
     Status,
-    Harm { signal: i32, names: Vec<String> },
-    Start { names: Vec<String> },
-    Judge { records: Vec<PathBuf> },
+    Harm {
+        signal: i32,
+        names: Vec<String>,
+    },
+    Start {
+        names: Vec<String>,
+    },
+    Judge {
+        records: Vec<PathBuf>,
+    },
+    Cut {
+        one_way: bool,
+        names: Vec<String>,
+    },
+    Join,
+    Drill {
+        base: u16,
+        file: PathBuf,
+    },
+    Relay {
+        serving: SocketAddr,
+        pairs: Vec<String>,
+    },
 }
 
 #[derive(Debug, Clone)]
@@ -24,6 +50,12 @@
     command: Command,
 }
 
+fn names_of() -> impl Parser<Vec<String>> {
+    positional::<String>("NAME")
+        .help("A process, a program or an area")
+        .some("name at least one process, program or area")
+}
+
 fn flags() -> OptionParser<Flags> {
     let run = long("run")
         .help("Folder for the fleet's files")
@@ -35,10 +67,17 @@
         .help("Ports are taken from here up")
         .argument::<u16>("PORT")
         .fallback(21000);
-    let up = construct!(Command::Up { scenario, base })
-        .to_options()
-        .descr("Start a fleet, give it its standing orders, and wait until it serves")
-        .command("up");
+    let relay = long("relay")
+        .help("Put a relay before the control ports, so that cut and join work")
+        .switch();
+    let up = construct!(Command::Up {
+        scenario,
+        base,
+        relay
+    })
+    .to_options()
+    .descr("Start a fleet, give it its standing orders, and wait until it serves")
+    .command("up");
     let down = bpaf::pure(Command::Down)
         .to_options()
         .descr("End every process of the fleet")
@@ -47,14 +86,9 @@
         .to_options()
         .descr("Say which processes live")
         .command("status");
-    let names = || {
-        positional::<String>("NAME")
-            .help("A process, a program or an area")
-            .some("name at least one process, program or area")
-    };
     let harm = |word: &'static str, text: &'static str, signal: i32| {
         let signal = bpaf::pure(signal);
-        let names = names();
+        let names = names_of();
         construct!(Command::Harm { signal, names })
             .to_options()
             .descr(text)
@@ -64,7 +98,7 @@
     let stop = harm("stop", "Ask processes to stop politely", libc::SIGTERM);
     let freeze = harm("freeze", "Freeze processes", libc::SIGSTOP);
     let wake = harm("wake", "Wake frozen processes", libc::SIGCONT);
-    let names = names();
+    let names = names_of();
     let start = construct!(Command::Start { names })
         .to_options()
         .descr("Start ended processes again, with the same place and data")
@@ -76,11 +110,45 @@
         .to_options()
         .descr("Compare callers' records with what the instances ran")
         .command("judge");
-    let command = construct!([up, down, status, kill, stop, freeze, wake, start, judge]);
+    let one_way = long("one-way")
+        .help("Cut only what they send, not what is sent to them")
+        .switch();
+    let names = names_of();
+    let cut = construct!(Command::Cut { one_way, names })
+        .to_options()
+        .descr("Cut what our processes say to each other (needs up --relay)")
+        .command("cut");
+    let join = bpaf::pure(Command::Join)
+        .to_options()
+        .descr("Undo all cuts")
+        .command("join");
+    let base = long("base-port")
+        .help("Ports are taken from here up")
+        .argument::<u16>("PORT")
+        .fallback(23000);
+    let file = positional::<PathBuf>("DRILL").help("A drill's file");
+    let drill = construct!(Command::Drill { base, file })
+        .to_options()
+        .descr("Run a written drill under load, judge it, and end the fleet")
+        .command("drill");
+    let serving = long("serving")
+        .help("Address for cut and join")
+        .argument::<SocketAddr>("ADDRESS");
+    let pairs = long("pair")
+        .help("ADVERTISED=LISTENED")
+        .argument::<String>("PAIR")
+        .many();
+    let relay = construct!(Command::Relay { serving, pairs })
+        .to_options()
+        .descr("Be the relay; started by up --relay")
+        .command("relay");
+    let command = construct!([
+        up, down, status, kill, stop, freeze, wake, start, judge, cut, join, drill, relay
+    ]);
     construct!(Flags { run, command }).to_options().descr(HELP)
 }
 
-async fn until(what: &str, span: Duration, test: impl AsyncFn() -> bool) -> anyhow::Result<()> {
+pub async fn until(what: &str, span: Duration, test: impl AsyncFn() -> bool) -> anyhow::Result<()> {
     let start = Instant::now();
     while start.elapsed() < span {
         if test().await {
@@ -92,7 +160,7 @@
     bail!("{what}: not within {span:?}; read the logs in the run folder")
 }
 
-async fn status_of(address: SocketAddr, path: &str) -> Option<Fetched> {
+pub async fn status_of(address: SocketAddr, path: &str) -> Option<Fetched> {
     let patience = Duration::from_secs(1);
     Fetch::get(address, path)
         .patience(patience)
@@ -101,7 +169,7 @@
         .ok()
 }
 
-async fn up(run: &Path, scenario: &Path, base: u16) -> anyhow::Result<()> {
+pub async fn up(run: &Path, scenario: &Path, base: u16, relay: bool) -> anyhow::Result<()> {
     let scenario = Scenario::read(scenario).unwrap_or_else(|faults| end_over(&faults));
     std::fs::create_dir_all(run)?;
     let run = run.canonicalize()?;
@@ -111,6 +179,9 @@
         }
     }
     let mut fleet = Fleet::plan(&scenario, &run, base);
+    if relay {
+        fleet.put_relay(base);
+    }
     for place in 0..fleet.hands.len() {
         fleet.start(place)?;
     }
@@ -191,7 +262,7 @@
     Ok(())
 }
 
-async fn down(fleet: &Fleet) {
+pub async fn down(fleet: &Fleet) {
     for hand in &fleet.hands {
         hand.signal(libc::SIGCONT);
         hand.signal(libc::SIGKILL);
@@ -256,7 +327,7 @@
 }
 
 /// Judges a run: nothing twice, nothing after "not run", no two owners of a slice at once.
-fn judge(fleet: &Fleet, records: &[PathBuf]) -> anyhow::Result<bool> {
+pub fn judge(fleet: &Fleet, records: &[PathBuf]) -> anyhow::Result<bool> {
     let runs = read_journals(&fleet.folder)?;
     let mut told: HashMap<String, String> = HashMap::new();
     for record in records {
@@ -333,12 +404,41 @@
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> anyhow::Result<()> {
     let flags = read_flags(&flags());
-    if let Command::Up { scenario, base } = &flags.command {
-        return up(&flags.run, scenario, *base).await;
+    match &flags.command {
+        Command::Up {
+            scenario,
+            base,
+            relay,
+        } => {
+            return up(&flags.run, scenario, *base, *relay).await;
+        }
+        Command::Drill { base, file } => {
+            start_log()?;
+            let drill = Drill::read(file).unwrap_or_else(|faults| end_over(&faults));
+            if !drill::run(&flags.run, &drill, *base).await? {
+                std::process::exit(1);
+            }
+            return Ok(());
+        }
+        Command::Relay { serving, pairs } => {
+            start_log()?;
+            let pairs: Vec<(SocketAddr, SocketAddr)> = pairs
+                .iter()
+                .filter_map(|pair| pair.split_once('='))
+                .filter_map(|(one, other)| Some((one.parse().ok()?, other.parse().ok()?)))
+                .collect();
+            return relay::run(*serving, &pairs).await;
+        }
+        _ => {}
     }
     let mut fleet = Fleet::load(&flags.run).unwrap_or_else(|fault| end_over(&[fault]));
     match &flags.command {
-        Command::Up { .. } => {}
+        Command::Up { .. } | Command::Drill { .. } | Command::Relay { .. } => {}
+        Command::Cut { one_way, names } => {
+            let places = named_or_end(&fleet, names);
+            fleet.cut(&places, *one_way).await?;
+        }
+        Command::Join => fleet.join().await?,
         Command::Down => down(&fleet).await,
         Command::Status => {
             for hand in &fleet.hands {
--- a/crates/workshop/src/prelude.rs
+++ b/crates/workshop/src/prelude.rs
@@ -2,4 +2,6 @@
 
 pub use toolroom::prelude::*;
 
+pub use crate::drill::Drill;
 pub use crate::fleet::*;
+pub use crate::{down, judge, status_of, until, up};
