--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -177,6 +177,7 @@
     tickets: HashMap<(usize, u64), BeatTicket>,
     next_ticket: u64,
     operator_calls: HashMap<u64, Change>,
+    verdicts: HashMap<ChangeId, Verdict>,
     next_call: u64,
     known_editions: HashMap<String, Edition>,
     seeds: Vec<SocketAddr>,
@@ -216,6 +217,7 @@
             tickets: HashMap::new(),
             next_ticket: 0,
             operator_calls: HashMap::new(),
+            verdicts: HashMap::new(),
             next_call: 0,
             known_editions: HashMap::new(),
             seeds: Vec::new(),
@@ -511,10 +513,17 @@
     /// Runs until the end of the day, then reads everything back.
     pub fn run(&mut self) {
         let end = self.day.length;
-        while let Some(queued) = self.queue.pop() {
-            if queued.at > end {
+        self.run_until(end);
+        self.read_back();
+        self.observers.judge_recovery(end);
+    }
+
+    /// Runs until a moment.
+    pub fn run_until(&mut self, end: Duration) {
+        while self.queue.peek().is_some_and(|queued| queued.at <= end) {
+            let Some(queued) = self.queue.pop() else {
                 break;
-            }
+            };
             self.now = queued.at;
             match queued.event {
                 Due::At {
@@ -532,8 +541,54 @@
             }
         }
         self.now = end;
-        self.read_back();
-        self.observers.judge_recovery(end);
+    }
+
+    /// What an operator sees who asks the ledgers in turn: status and standing orders.
+    pub fn look(&mut self) -> (JsonValue, JsonValue) {
+        let mut fallback = (JsonValue::new_object(), JsonValue::new_object());
+        for place in self.targets("ledger") {
+            let local = self.local(place);
+            let frozen = self.nodes[place].frozen;
+            let Some(Body::Ledger(machine)) = &mut self.nodes[place].body else {
+                continue;
+            };
+            if frozen {
+                continue;
+            }
+            let mut ask = |call: OperatorCall| {
+                machine
+                    .input(local, LedgerInput::Operator { ticket: 0, call })
+                    .into_iter()
+                    .find_map(|output| match output {
+                        LedgerOutput::Answer { answer, .. } => Some(answer),
+                        _ => None,
+                    })
+            };
+            let Some(OperatorAnswer::Status { status }) = ask(OperatorCall::Status) else {
+                continue;
+            };
+            let status = ledger::orders::status_json(&status);
+            if let Some(OperatorAnswer::Standing { book }) = ask(OperatorCall::Read) {
+                return (status, ledger::orders::book_json(&book));
+            }
+            fallback.0 = status;
+        }
+        fallback
+    }
+
+    /// Applies a change set as an operator would, and runs on until it is answered.
+    pub fn apply(&mut self, change: Change) -> (u16, JsonValue) {
+        let id = change.id.clone();
+        self.call_any(change);
+        let until = self.now + Duration::from_secs(4);
+        while self.now < until {
+            if let Some(verdict) = self.verdicts.get(&id) {
+                return ledger::orders::verdict_json(verdict);
+            }
+            let next = self.now + Duration::from_millis(20);
+            self.run_until(next);
+        }
+        (503, JsonValue::new_object())
     }
 
     fn happen(&mut self, place: usize, life: u64, happening: Happening) {
@@ -808,6 +863,7 @@
     }
 
     fn verdict(&mut self, change: &Change, verdict: &Verdict) {
+        self.verdicts.insert(change.id.clone(), verdict.clone());
         self.observers.verdict(self.now, change, verdict);
         match verdict {
             Verdict::Accepted(edition) | Verdict::Repeat(edition) => {
