Judge when an order reaches an instance by its machine, not by when a frozen process looks

Ruled out: stale proxies (none was frozen at those moments; the orders' sending times were good). Also: takeover times in the tally.

--- a/crates/rehearsal/src/actors.rs
+++ b/crates/rehearsal/src/actors.rs
@@ -488,6 +488,11 @@
 impl SimInstance {
     pub fn beat(&mut self, now: Duration) -> Beat {
         self.counter += 1;
+        self.says(now)
+    }
+
+    /// What a beat says now.
+    pub fn says(&self, now: Duration) -> Beat {
         Beat {
             id: self.id.clone(),
             incarnation: self.incarnation,
--- a/crates/rehearsal/src/observers.rs
+++ b/crates/rehearsal/src/observers.rs
@@ -71,6 +71,8 @@
     /// Mappings written, and of the parts of groups that they placed, how many in a hundred moved.
     pub mappings: u64,
     pub moved_percent: u64,
+    /// From the loss of the tenure keeper's ledger until another holds the duty.
+    pub takeovers: Vec<Duration>,
     /// Why orders were refused or lost, as the proxies said.
     pub mishaps: BTreeMap<&'static str, u64>,
 }
@@ -101,6 +103,8 @@
     seconds: BTreeMap<u64, (u64, u64)>,
     big_faults: Vec<Duration>,
     last_mapping: Option<(Edition, Mapping)>,
+    keeper: Option<NodeId>,
+    keeper_lost_at: Option<Duration>,
 }
 
 /// What an instance was sent, as seen when it got there.
@@ -149,6 +153,21 @@
         }
     }
 
+    /// The ledger with the keeper's duty was killed, frozen or cut off.
+    pub fn keeper_lost(&mut self, at: Duration) {
+        self.keeper_lost_at.get_or_insert(at);
+    }
+
+    /// A ledger knows who keeps the tenure.
+    pub fn keeper_known(&mut self, at: Duration, holder: NodeId) {
+        if self.keeper != Some(holder) {
+            if let Some(lost) = self.keeper_lost_at.take() {
+                self.tally.takeovers.push(at.saturating_sub(lost));
+            }
+            self.keeper = Some(holder);
+        }
+    }
+
     /// A ledger holds a mapping; counts how much of each group a new one moves.
     pub fn mapped(&mut self, edition: Edition, mapping: &Mapping) {
         let Some((known, last)) = &self.last_mapping else {
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -600,7 +600,21 @@
             }
             return;
         }
-        if node.frozen {
+        let frozen = node.frozen;
+        // Why here and not when it is taken up: an order has reached an instance when it is at its
+        // machine; a frozen process that finds it later has had it all the while.
+        if let Happening::Arrive {
+            order,
+            proxy,
+            rule,
+            standing,
+            ..
+        } = &happening
+        {
+            self.note_reached(place, *order, *proxy, rule, *standing);
+        }
+        let node = &mut self.nodes[place];
+        if frozen {
             if matches!(happening, Happening::Tick) {
                 self.push_at(place, TICK, Happening::Tick);
             } else {
@@ -856,6 +870,18 @@
                             self.observers.mapped(*edition, mapping);
                         }
                     }
+                    if let (
+                        Event::BookMoved {
+                            book: BookName::Cohort,
+                            ..
+                        },
+                        Some(Body::Ledger(machine)),
+                    ) = (&event, &self.nodes[place].body)
+                    {
+                        if let Some(term) = machine.board.book(BookName::Cohort).duty(TENURE) {
+                            self.observers.keeper_known(self.now, term.holder);
+                        }
+                    }
                     self.observers.noted(self.now, name, event);
                 }
             }
@@ -1018,14 +1044,9 @@
                 proxy_life,
                 target,
                 rule,
-                standing,
                 need,
+                ..
             } => {
-                let beat = Beat {
-                    counter: 0,
-                    ..instance.clone_beat(local)
-                };
-                self.note_reached(order, &beat, proxy, &rule, standing);
                 let ours =
                     target.instance == instance.id && target.incarnation == instance.incarnation;
                 let held = target.slice.is_none_or(|(slice, epoch)| {
@@ -1132,12 +1153,17 @@
 
     fn note_reached(
         &mut self,
+        place: usize,
         order: u64,
-        beat: &Beat,
         proxy: usize,
         rule: &Rule,
         standing: Edition,
     ) {
+        let local = self.local(place);
+        let Some(Body::Instance(instance)) = &self.nodes[place].body else {
+            return;
+        };
+        let beat = &instance.says(local);
         let Some(plan) = self
             .scenario
             .pools
@@ -1452,6 +1478,13 @@
             self.observers.big_fault(self.now);
         }
         let places = self.targets(&fault.target);
+        let ends = matches!(
+            fault.act,
+            Act::Kill | Act::PowerOff | Act::Freeze | Act::Move | Act::CutOff { one_way: false }
+        );
+        if ends && places.iter().any(|place| self.is_holder(*place)) {
+            self.observers.keeper_lost(self.now);
+        }
         match &fault.act {
             Act::Kill => places.iter().for_each(|place| self.end(*place, false)),
             Act::PowerOff => places.iter().for_each(|place| self.end(*place, true)),
@@ -1596,22 +1629,3 @@
         self.call_any(change);
     }
 }
-
-impl SimInstance {
-    /// What a beat would say now, without sending one.
-    fn clone_beat(&self, now: Duration) -> Beat {
-        Beat {
-            id: self.id.clone(),
-            incarnation: self.incarnation,
-            counter: self.counter,
-            pool: self.pool.clone(),
-            area: self.area.clone(),
-            address: self.address,
-            capacity: self.capacity,
-            state: InstanceState::Serving,
-            load: 0,
-            up: now,
-            holding: Vec::new(),
-        }
-    }
-}
