Watch only a request's head for a second length; drills take their pool from the scenario

Cause (first): every read was copied, and for long bodies the kept tail was moved at each read. A faulty change is now reported.

--- a/crates/toolroom/src/http.rs
+++ b/crates/toolroom/src/http.rs
@@ -67,16 +67,22 @@
 #[derive(Debug, Clone, Copy)]
 pub struct AmbiguousFraming;
 
-/// How much of what came in of late is kept to look at a request's head again.
-const KEPT_OF_LATE: usize = 64 * 1024;
+/// How much is kept to look at a request's head again; a longer head is refused by the library.
+const KEPT_OF_HEAD: usize = 64 * 1024;
 
-/// A stream that remembers what it read since the last request's head.
+/// What a stream read while a request's head was awaited.
+struct HeadRead {
+    awaited: bool,
+    bytes: Vec<u8>,
+}
+
+/// A stream that remembers what it reads while a request's head is awaited.
 ///
 /// Why: the library drops one of two conflicting lengths without a word, but an order whose end
 /// can be read in two ways must be refused.
 struct Remembering {
     inner: TcpStream,
-    read: Arc<Mutex<Vec<u8>>>,
+    read: Arc<Mutex<HeadRead>>,
 }
 
 impl tokio::io::AsyncRead for Remembering {
@@ -88,11 +94,10 @@
         let before = buffer.filled().len();
         let polled = std::pin::Pin::new(&mut self.inner).poll_read(context, buffer);
         let mut read = locked(&self.read);
-        read.extend_from_slice(&buffer.filled()[before..]);
-        if read.len() > KEPT_OF_LATE {
-            let over = read.len() - KEPT_OF_LATE;
-            read.drain(..over);
+        if read.awaited && read.bytes.len() < KEPT_OF_HEAD {
+            read.bytes.extend_from_slice(&buffer.filled()[before..]);
         }
+        drop(read);
         polled
     }
 }
@@ -178,20 +183,31 @@
         let handler = handler.clone();
         let stop = stop.clone();
         tokio::spawn(async move {
-            let read = Arc::new(Mutex::new(Vec::new()));
+            let read = Arc::new(Mutex::new(HeadRead {
+                awaited: true,
+                bytes: Vec::new(),
+            }));
             let stream = Remembering {
                 inner: stream,
                 read: read.clone(),
             };
             let service = hyper::service::service_fn(move |mut order: Request<Incoming>| {
-                let of_late = std::mem::take(&mut *locked(&read));
-                if tells_length_twice(&of_late, &order) {
-                    order.extensions_mut().insert(AmbiguousFraming);
+                {
+                    let mut read = locked(&read);
+                    if tells_length_twice(&read.bytes, &order) {
+                        order.extensions_mut().insert(AmbiguousFraming);
+                    }
+                    read.bytes.clear();
+                    read.awaited = false;
                 }
+                let read = read.clone();
                 let answering = handler(far_end, order);
                 let stop = stop.clone();
                 async move {
                     let mut answer = answering.await?;
+                    // Why now: the body has been taken or is given up, so a head comes next. One
+                    // that came sooner is not seen, and is refused if it names a coding.
+                    locked(&read).awaited = true;
                     if stop.load(Ordering::Relaxed) {
                         // Why: a process that is about to stop takes nothing more on a circuit.
                         answer
--- a/crates/workshop/src/drill.rs
+++ b/crates/workshop/src/drill.rs
@@ -138,6 +138,7 @@
 /// Tweaks one rule again and again, at one ledger after the other.
 async fn keep_changing(
     ledgers: Vec<SocketAddr>,
+    pool: String,
     stop: Arc<AtomicBool>,
     changes: Arc<Mutex<Changes>>,
 ) {
@@ -146,7 +147,7 @@
         number += 1;
         let ledger = ledgers[(number % ledgers.len() as u64) as usize];
         let rule = jzon::object! {
-            host: "drill.example", path: "/", pool: "records", deadline_ms: 1000 + number,
+            host: "drill.example", path: "/", pool: pool.as_str(), deadline_ms: 1000 + number,
         };
         let put = jzon::object! { kind: "rule", name: "drill", rule: rule };
         let change = jzon::object! { id: format!("drill-{number}"), put: [put] };
@@ -159,6 +160,12 @@
                 let edition = fetched.json()["edition"].as_u64().unwrap_or(0);
                 locked(&changes).accepted.push((edition, number));
             }
+            Ok(fetched) if fetched.status == 400 => {
+                event(
+                    RUN_FAILED,
+                    format!("a change of the drill is faulty: {}", fetched.json()),
+                );
+            }
             Ok(fetched) if fetched.json()["outcome"] == "refused" => {}
             _ => locked(&changes).unknown += 1,
         }
@@ -276,8 +283,10 @@
     let stop = Arc::new(AtomicBool::new(false));
     let changes: Arc<Mutex<Changes>> = Arc::default();
     let ledgers = fleet.of("ledger");
+    let scenario = Scenario::read(&drill.scenario).map_err(|faults| anyhow!("{faults:?}"))?;
     let changing = tokio::spawn(keep_changing(
         ledgers.clone(),
+        scenario.pools[0].name.clone(),
         stop.clone(),
         changes.clone(),
     ));
