--- a/crates/workshop/src/drill.rs
+++ b/crates/workshop/src/drill.rs
@@ -318,6 +318,17 @@
         },
     )
     .await?;
+    let mut odd = vec!["no proxy was ready to be probed".to_string()];
+    for proxy in fleet.of("playout") {
+        let ready = status_of(proxy, "/caperworks/ready").await;
+        if ready.is_some_and(|fetched| fetched.status == 200) {
+            odd = crate::probe::probe(proxy, &scenario).await;
+            break;
+        }
+    }
+    for odd in &odd {
+        event(RUN_FAILED, odd);
+    }
     let kept = {
         let changes = std::mem::take(&mut *locked(&changes));
         println!(
@@ -339,7 +350,7 @@
     let good = judge(&fleet, &[record])?;
     down(&fleet).await;
     let enough = sent > 0 && served * 100 >= sent * drill.served_at_least;
-    let verdict = good && kept && enough && wrong == 0;
+    let verdict = good && odd.is_empty() && kept && enough && wrong == 0;
     event(
         if verdict { RUN_STEP } else { RUN_FAILED },
         format!("drill good: {verdict}"),
--- a/crates/workshop/src/main.rs
+++ b/crates/workshop/src/main.rs
@@ -3,6 +3,7 @@
 mod drill;
 mod fleet;
 mod prelude;
+mod probe;
 mod relay;
 
 use crate::prelude::*;
@@ -369,7 +370,12 @@
                 .count();
         }
     }
-    let verdict = twice + after_not_run + served_not_run + overlaps == 0;
+    // Why apart: a half order is in nobody's record, and must be in no instance's either.
+    let halves = runs
+        .iter()
+        .filter(|ran| ran.order == probe::HALF_ORDER)
+        .count();
+    let verdict = halves + twice + after_not_run + served_not_run + overlaps == 0;
     let json = jzon::object! {
         orders_told: told.len(),
         runs: runs.len(),
@@ -378,6 +384,7 @@
         ran_after_not_run: after_not_run,
         served_without_a_run: served_not_run,
         two_owners_at_once: overlaps,
+        half_orders_run: halves,
         good: verdict,
     };
     println!("{}", json.pretty(2));
@@ -477,3 +484,67 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use crate::prelude::*;
+    use crate::probe;
+
+    /// Judges journals and a record written by hand.
+    fn judged(name: &str, journals: &[(&str, &str)], record: &str) -> bool {
+        let folder =
+            std::env::temp_dir().join(format!("caperworks-judge-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a temporary folder");
+        for (instance, lines) in journals {
+            std::fs::write(folder.join(format!("{instance}.journal")), lines).expect("a journal");
+        }
+        let told = folder.join("told");
+        std::fs::write(&told, record).expect("a record");
+        let fleet = Fleet {
+            folder: folder.clone(),
+            scenario: PathBuf::new(),
+            hands: Vec::new(),
+        };
+        let good = judge(&fleet, &[told]).expect("it can be judged");
+        std::fs::remove_dir_all(&folder).expect("it was there");
+        good
+    }
+
+    fn ran(order: &str, slice: &str, from: u32, to: u32) -> String {
+        format!("ran {order} POST /x key=k slice={slice} digest=0 from={from} to={to}\n")
+    }
+
+    #[test]
+    fn given_a_clean_run_when_judged_then_it_is_good() {
+        let lines = ran("a", "1/1", 10, 20) + &ran("b", "1/1", 30, 40);
+        let other = ran("c", "1/2", 50, 60);
+        let told = "a served\nb unknown\nc served\nd not-run\n";
+        assert!(judged(
+            "clean",
+            &[("burn-1", &lines), ("burn-2", &other)],
+            told
+        ));
+    }
+
+    #[test]
+    fn given_each_kind_of_harm_when_judged_then_it_is_caught() {
+        let once = ran("a", "-", 10, 20);
+        let twice = once.clone() + &once;
+        assert!(!judged("twice", &[("desk-1", &twice)], "a served\n"));
+        assert!(!judged("not-run", &[("desk-1", &once)], "a not-run\n"));
+        assert!(!judged(
+            "no-run",
+            &[("desk-1", &once)],
+            "a served\nb served\n"
+        ));
+        let half = ran(probe::HALF_ORDER, "-", 10, 20);
+        assert!(!judged("half", &[("desk-1", &half)], "a not-run\n"));
+        let (one, other) = (ran("a", "3/1", 10, 30), ran("b", "3/2", 20, 40));
+        let journals = [("burn-1", one.as_str()), ("burn-2", other.as_str())];
+        assert!(!judged("owners", &journals, "a served\nb served\n"));
+        assert!(
+            !judged("nothing", &[], ""),
+            "a run without a record proves nothing"
+        );
+    }
+}
--- /dev/null
+++ b/crates/workshop/src/probe.rs
@@ -0,0 +1,155 @@
+//! Raw probes of a real proxy: what no well-behaved caller sends.
+
+use crate::prelude::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+/// The name under which half orders are sent: no instance may ever have run one.
+pub const HALF_ORDER: &str = "probe-half";
+
+/// Sends bytes on a circuit of its own and reads the head of the answer.
+async fn raw(to: SocketAddr, bytes: &[u8], half: bool) -> anyhow::Result<String> {
+    let mut stream = TcpStream::connect(to).await?;
+    stream.write_all(bytes).await?;
+    if half {
+        stream.shutdown().await?;
+    }
+    let mut answer = vec![0; 2048];
+    let patience = Duration::from_secs(5);
+    let length = tokio::time::timeout(patience, stream.read(&mut answer)).await??;
+    answer.truncate(length);
+    Ok(String::from_utf8_lossy(&answer).to_string())
+}
+
+/// Probes the proxy; says what was answered otherwise than it must be.
+pub async fn probe(proxy: SocketAddr, scenario: &Scenario) -> Vec<String> {
+    let find = |keyed: bool, method: &Method| {
+        scenario
+            .traffic
+            .iter()
+            .find(|kind| (kind.keys > 0) == keyed && kind.method == *method)
+    };
+    let (Some(read), Some(write), Some(upload)) = (
+        find(false, &Method::GET),
+        find(false, &Method::POST),
+        find(true, &Method::POST),
+    ) else {
+        return vec!["the scenario lacks a read, a write or a keyed upload".to_string()];
+    };
+    let host = format!("host: {}\r\n", read.host);
+    let post = |path: &str, rest: &str| {
+        format!("POST {path} HTTP/1.1\r\n{host}x-caller-order: {HALF_ORDER}\r\n{rest}")
+    };
+    let get = |version: &str, rest: &str| format!("GET {} {version}\r\n{rest}\r\n", read.path);
+    let (path, keyed) = (write.path.as_str(), upload.path.as_str());
+    let part = "x".repeat(200_000);
+    let probes: Vec<(&str, String, bool, &str)> = vec![
+        ("no host", get("HTTP/1.1", ""), false, "400 not-run"),
+        (
+            "two hosts",
+            get("HTTP/1.1", &format!("{host}{host}")),
+            false,
+            "400 not-run",
+        ),
+        (
+            "an old version",
+            get("HTTP/1.0", &host),
+            false,
+            "400 not-run",
+        ),
+        (
+            "an upgrade",
+            get(
+                "HTTP/1.1",
+                &format!("{host}connection: upgrade\r\nupgrade: x\r\n"),
+            ),
+            false,
+            "400 not-run",
+        ),
+        (
+            "length and coding",
+            post(
+                path,
+                "content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+            ),
+            false,
+            "400 not-run",
+        ),
+        (
+            "coding and length",
+            post(
+                path,
+                "transfer-encoding: chunked\r\ncontent-length: 3\r\n\r\n0\r\n\r\n",
+            ),
+            false,
+            "400 not-run",
+        ),
+        (
+            "two lengths",
+            post(path, "content-length: 3\r\ncontent-length: 4\r\n\r\nabc"),
+            false,
+            "400",
+        ),
+        (
+            "no HTTP at all",
+            "\u{1}\u{2} nothing\r\n\r\n".to_string(),
+            false,
+            "400",
+        ),
+        (
+            "no key",
+            post(keyed, "content-length: 1\r\n\r\nx"),
+            false,
+            "400 not-run",
+        ),
+        (
+            "a body over the limit",
+            post(keyed, "x-key: a\r\ncontent-length: 99999999999\r\n\r\n"),
+            false,
+            "413 not-run",
+        ),
+        (
+            "no rule",
+            format!("GET /no/such/rule HTTP/1.1\r\n{host}\r\n"),
+            false,
+            "404 not-run",
+        ),
+        (
+            "half a small body",
+            post(path, "content-length: 100\r\n\r\nx"),
+            true,
+            "400 not-run",
+        ),
+        (
+            "half a large body",
+            post(
+                keyed,
+                &format!("x-key: a\r\ncontent-length: 1000000\r\n\r\n{part}"),
+            ),
+            true,
+            "502 unknown",
+        ),
+    ];
+    let mut wrong = Vec::new();
+    for (name, bytes, half, wanted) in probes {
+        let answer = match raw(proxy, bytes.as_bytes(), half).await {
+            Ok(answer) => answer,
+            Err(mishap) => {
+                wrong.push(format!("{name}: {mishap}"));
+                continue;
+            }
+        };
+        let (status, outcome) = wanted.split_once(' ').unwrap_or((wanted, ""));
+        let status_line = answer.lines().next().unwrap_or_default();
+        let told = answer
+            .lines()
+            .find_map(|line| line.strip_prefix("caperworks-outcome: "))
+            .unwrap_or_default();
+        if !status_line.contains(&format!(" {status} ")) || (!outcome.is_empty() && told != outcome)
+        {
+            wrong.push(format!(
+                "{name}: wanted {wanted}, got {status_line}, {told}"
+            ));
+        }
+    }
+    wrong
+}
