--- a/crates/ledger/src/blackboard.rs
+++ b/crates/ledger/src/blackboard.rs
@@ -138,6 +138,7 @@
     /// What each node last said that it holds.
     pub heard_editions: BTreeMap<NodeId, Vec<Edition>>,
     pub lost_since: BTreeMap<NodeId, Duration>,
+    pub refused_seat_at: Duration,
 
     pub watchers: Vec<Watcher>,
     pub outputs: Vec<LedgerOutput>,
--- a/crates/ledger/src/council.rs
+++ b/crates/ledger/src/council.rs
@@ -70,9 +70,21 @@
         let Some(asker) = board.askers.try_remove(ticket as usize) else {
             continue;
         };
-        if let Asker::Operator(ticket) = asker {
-            let answer = OperatorAnswer::Verdict { verdict };
-            board.outputs.push(LedgerOutput::Answer { ticket, answer });
+        match (asker, verdict) {
+            (Asker::Operator(ticket), verdict) => {
+                let answer = OperatorAnswer::Verdict { verdict };
+                board.outputs.push(LedgerOutput::Answer { ticket, answer });
+            }
+            // Why noted: a duty's write that comes late is refused, and operators may wonder.
+            (asker, Verdict::Conflicts(conflicts)) => {
+                let items: Vec<&str> = conflicts
+                    .iter()
+                    .map(|conflict| conflict.key.as_str())
+                    .collect();
+                let what = format!("{asker:?}: {}", items.join(", "));
+                board.note(Event::FencedOff { what });
+            }
+            _ => {}
         }
     }
 }
--- a/crates/ledger/src/duties.rs
+++ b/crates/ledger/src/duties.rs
@@ -169,6 +169,8 @@
 const LEDGER_SEATS: usize = 3;
 /// A witness that was silent for this long has lost what it knew or is about to.
 const WITNESS_LOST: Duration = Duration::from_millis(2500);
+/// How often a change of seats that cannot be made is noted.
+const REFUSAL_PERIOD: Duration = Duration::from_secs(5);
 /// How many editions a witness may be behind when it gets its seat.
 const WITNESS_LAG: u64 = 20;
 /// A ledger's seat is only given away after so long a silence, and only to another ledger.
@@ -193,6 +195,20 @@
     let Some((next, why)) = next_seats(board, &seats) else {
         return;
     };
+    // Why counted: a change that leaves fewer living seats than its majority stops the core.
+    let living = next
+        .holders
+        .iter()
+        .filter(|holder| !board.lost_since.contains_key(&holder.node))
+        .count();
+    if living < next.majority() {
+        if now >= board.refused_seat_at + REFUSAL_PERIOD {
+            board.refused_seat_at = now;
+            let why = format!("{why}: {living} living of {}", next.holders.len());
+            board.note(Event::SeatRefused { why });
+        }
+        return;
+    }
     // Why settle first: what the seats before may have half agreed on must be finished while
     // every majority of these seats still meets every majority of those.
     let cohort = board.book(BookName::Cohort).edition;
@@ -238,20 +254,11 @@
         next.holders.push(holder);
         next
     };
-    // Why counted: a change that leaves fewer living seats than its majority stops the core.
-    let stands = |next: &Seats| {
-        let living = next
-            .holders
-            .iter()
-            .filter(|holder| silent(holder.node).is_zero())
-            .count();
-        living >= next.majority()
-    };
     let newcomer = waiting_ledger(board, seats);
     let ledgers = seats.holders.iter().filter(|holder| holder.ledger).count();
     if let Some(newcomer) = newcomer.filter(|_| ledgers < LEDGER_SEATS) {
         let why = format!("ledger {} is new", newcomer.node);
-        return Some((with(newcomer), why)).filter(|(next, _)| stands(next));
+        return Some((with(newcomer), why));
     }
     let lost_witness = seats
         .holders
@@ -259,7 +266,7 @@
         .find(|holder| !holder.ledger && silent(holder.node) >= WITNESS_LOST);
     if let Some(lost) = lost_witness {
         let why = format!("witness {} is lost", lost.node);
-        return Some((without(lost.node), why)).filter(|(next, _)| stands(next));
+        return Some((without(lost.node), why));
     }
     let lost_ledger = seats
         .holders
@@ -268,7 +275,7 @@
     // Why only for another: a ledger's disk is worth its seat as long as nobody can replace it.
     if let Some(lost) = lost_ledger.filter(|_| newcomer_waits(board, seats)) {
         let why = format!("ledger {} is lost and another waits", lost.node);
-        return Some((without(lost.node), why)).filter(|(next, _)| stands(next));
+        return Some((without(lost.node), why));
     }
     let crowded = seats.holders.iter().find(|holder| {
         !holder.ledger
@@ -282,12 +289,12 @@
         waiting_witness(board, seats).is_some_and(|waiting| !has_seat(seats, &waiting.area))
     }) {
         let why = format!("witness {} crowds {}", crowded.node, crowded.area);
-        return Some((without(crowded.node), why)).filter(|(next, _)| stands(next));
+        return Some((without(crowded.node), why));
     }
     if seats.holders.len() < SEATS {
         let witness = waiting_witness(board, seats)?;
         let why = format!("witness {} in {}", witness.node, witness.area);
-        return Some((with(witness), why)).filter(|(next, _)| stands(next));
+        return Some((with(witness), why));
     }
     None
 }
--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine.rs
@@ -104,6 +104,8 @@
     InstanceGone { id: InstanceId },
     MemberGone { node: NodeId },
     SeatWanted { why: String },
+    SeatRefused { why: String },
+    FencedOff { what: String },
 }
 
 pub struct LedgerMachine {
@@ -197,6 +199,7 @@
                 plan_at: Duration::ZERO,
                 heard_editions: BTreeMap::new(),
                 lost_since: BTreeMap::new(),
+                refused_seat_at: Duration::ZERO,
                 watchers: Vec::new(),
                 outputs: Vec::new(),
             },
--- a/crates/ledger/src/main.rs
+++ b/crates/ledger/src/main.rs
@@ -65,6 +65,8 @@
         Event::InstanceGone { id } => event(INSTANCE_GONE, id),
         Event::MemberGone { node } => event(MEMBER_GONE, node),
         Event::SeatWanted { why } => event(SEAT_WANTED, why),
+        Event::SeatRefused { why } => event(SEAT_REFUSED, why),
+        Event::FencedOff { what } => event(FENCED_OFF, what),
     }
 }
 
--- a/crates/rehearsal/examples/play.rs
+++ b/crates/rehearsal/examples/play.rs
@@ -22,7 +22,7 @@
         }
         std::process::exit(2);
     });
-    let scenario = deployment(&day.deployment);
+    let scenario = deployment(&day.deployment).expect("the day was checked against it");
     let next = std::sync::atomic::AtomicU64::new(first);
     let bad = std::sync::atomic::AtomicU64::new(0);
     let order = std::sync::atomic::Ordering::SeqCst;
--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -158,6 +158,21 @@
         if seeds.is_empty() {
             fault("seeds".to_string(), "list at least one seed".to_string());
         }
+        let deployed = value["deployment"].as_str().unwrap_or("tallowgum");
+        match deployment(deployed) {
+            Err(remedy) => fault("deployment".to_string(), remedy),
+            Ok(scenario) => {
+                for (place, harm) in faults.iter().enumerate() {
+                    let untargeted = matches!(harm.act, Act::Join);
+                    if !untargeted && !is_target(&scenario, &harm.target) {
+                        fault(
+                            format!("faults[{place}].target"),
+                            format!("{} is no node, program or area of {deployed}", harm.target),
+                        );
+                    }
+                }
+            }
+        }
         if !wrong.is_empty() {
             return Err(wrong);
         }
@@ -192,10 +207,22 @@
     }
 }
 
+/// Whether a fault's target names something in a fleet of this scenario.
+fn is_target(scenario: &Scenario, target: &str) -> bool {
+    let name = target.strip_prefix("any-").unwrap_or(target);
+    let programs = ["ledger", "mentor", "playout", "cuesheet", "holder"];
+    let parts = name.split('-').next().unwrap_or_default();
+    programs.contains(&parts)
+        || scenario.pools.iter().any(|pool| pool.name == parts)
+        || scenario.areas.iter().any(|(area, _)| area == name)
+}
+
 /// The scenario file of a deployment, from the workspace's own folder.
-pub fn deployment(name: &str) -> Scenario {
+pub fn deployment(name: &str) -> Result<Scenario, String> {
     let path = PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/../../scenarios"))
         .join(format!("{name}.json"));
-    // Why a broken invariant: the file is part of this workspace.
-    Scenario::read(&path).unwrap_or_else(|faults| panic!("{faults:?}"))
+    Scenario::read(&path).map_err(|faults| {
+        let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        faults.join("; ")
+    })
 }
--- a/crates/rehearsal/tests/days.rs
+++ b/crates/rehearsal/tests/days.rs
@@ -4,7 +4,7 @@
 
 fn play(path: &Path) -> datatest_stable::Result<()> {
     let day = Day::read(path).map_err(|faults| format!("{faults:?}"))?;
-    let scenario = deployment(&day.deployment);
+    let scenario = deployment(&day.deployment)?;
     let mut failures = Vec::new();
     for seed in &day.seeds {
         let observers = day.play(&scenario, *seed);
--- a/crates/rehearsal/tests/observers.rs
+++ b/crates/rehearsal/tests/observers.rs
@@ -12,7 +12,7 @@
 fn is_caught(name: &str, line: Line, broken: impl Fn(&mut Day)) {
     let mut played = day(name);
     broken(&mut played);
-    let scenario = deployment(&played.deployment);
+    let scenario = deployment(&played.deployment).expect("the scenario reads");
     let mut seen = BTreeSet::new();
     for seed in 1..=12 {
         let breached = played.play(&scenario, seed).breached();
--- a/crates/rehearsal/tests/runbooks.rs
+++ b/crates/rehearsal/tests/runbooks.rs
@@ -9,7 +9,11 @@
     let mut day = Day::read(Path::new(&path)).expect("the day reads");
     day.length = Duration::from_secs(400);
     day.traffic_until = day.length;
-    let mut world = World::new(deployment("tallowgum"), day, seed);
+    let mut world = World::new(
+        deployment("tallowgum").expect("the scenario reads"),
+        day,
+        seed,
+    );
     world.run_until(Duration::from_secs(10));
     world
 }
--- a/crates/toolroom/src/events.rs
+++ b/crates/toolroom/src/events.rs
@@ -41,6 +41,8 @@
     208 Warn INSTANCE_GONE "An instance was not heard of for the span of a beat and counts as gone.";
     209 Warn MEMBER_GONE "A member did not renew its permit and counts as gone.";
     210 Info SEAT_WANTED "The seating duty asks for a change of seats.";
+    211 Warn SEAT_REFUSED "A change of seats was due but would leave fewer living seats than a majority.";
+    212 Warn FENCED_OFF "A write of a duty was refused: another holder has fenced the book, or the item moved on.";
     300 Info FRESH "The permit stands and the news it names is held.";
     301 Warn STALE "The permit ran out: the proxy refuses orders until it is renewed.";
     400 Info READY "The proxy is ready.";
