Choose an instance by drawing two, not by looking at all

Cause: for every order each of a pool's thirty instances was looked up three or four times, and each look-up copied its name. Ruled out: the rule table and the last check (under a tenth together).

--- a/crates/caperworks/src/dispatch.rs
+++ b/crates/caperworks/src/dispatch.rs
@@ -336,7 +336,7 @@
     pub books: Arc<Follower>,
     pub table: Arc<RuleTable>,
     pub instances: BTreeMap<InstanceId, Beat>,
-    pub by_pool: HashMap<PoolName, Vec<InstanceId>>,
+    pub by_pool: HashMap<PoolName, Vec<Beat>>,
     pub closed: BTreeSet<Area>,
     pub regions: BTreeMap<Area, Region>,
     pub proxies: u32,
@@ -365,7 +365,7 @@
             self.by_pool
                 .entry(beat.pool.clone())
                 .or_default()
-                .push(beat.id.clone());
+                .push(beat.clone());
         }
         self.instances = view
             .instances
@@ -458,6 +458,8 @@
     keys: HashMap<u64, u32>,
     budget: RetryBudget,
     chance: Chance,
+    /// Until when at least one instance is put aside.
+    any_ejected_until: Duration,
 }
 
 impl PoolShard {
@@ -467,6 +469,7 @@
             keys: HashMap::new(),
             budget: RetryBudget::default(),
             chance: Chance::seeded(seed),
+            any_ejected_until: Duration::ZERO,
         }
     }
 
@@ -480,14 +483,20 @@
 
     /// Makes a watch for a beat, anew when the instance lives another life.
     fn watch(&mut self, beat: &Beat) -> &mut InstanceWatch {
-        let watch = self.watches.entry(beat.id.clone()).or_default();
-        if watch.incarnation != beat.incarnation {
-            *watch = InstanceWatch {
+        // Why look before: the name is copied once in an instance's life and not for every order.
+        if self
+            .watches
+            .get(&beat.id)
+            .is_none_or(|watch| watch.incarnation != beat.incarnation)
+        {
+            let watch = InstanceWatch {
                 incarnation: beat.incarnation,
                 ..InstanceWatch::default()
             };
+            self.watches.insert(beat.id.clone(), watch);
         }
-        watch
+        // Why this cannot miss: it was there or has just been put there.
+        self.watches.get_mut(&beat.id).expect("a watch")
     }
 
     /// Forgets the instances that are gone.
@@ -539,77 +548,94 @@
             return self.choose_owner(now, knowledge, rule, pool, key);
         }
         let own_region = knowledge.regions.get(own_area);
-        let ids = knowledge
+        let beats = knowledge
             .by_pool
             .get(&rule.pool)
             .ok_or(Mishap::NoInstance)?;
         let mut tiers: [Vec<&Beat>; 3] = [Vec::new(), Vec::new(), Vec::new()];
-        let mut ejected = 0;
-        for beat in ids.iter().filter_map(|id| knowledge.instances.get(id)) {
-            let region = knowledge.regions.get(&beat.area);
-            let outside = rule.home.is_some() && region != rule.home.as_ref();
+        for beat in beats {
             if beat.state == InstanceState::Leaving
-                || outside
                 || knowledge.closed.contains(&beat.area)
                 || tried.contains(&beat.id)
             {
                 continue;
             }
-            if now < self.watch(beat).ejected_until {
-                ejected += 1;
+            if beat.area == *own_area {
+                tiers[0].push(beat);
+                continue;
+            }
+            let region = knowledge.regions.get(&beat.area);
+            if rule.home.is_none() || region == rule.home.as_ref() {
+                tiers[if region == own_region { 1 } else { 2 }].push(beat);
             }
-            let tier = if beat.area == *own_area {
-                0
-            } else if region == own_region {
-                1
-            } else {
-                2
-            };
-            tiers[tier].push(beat);
         }
+        if now < self.any_ejected_until {
+            self.bound_ejections(now, &tiers);
+        }
+        for tier in &tiers {
+            if let Some(beat) = self.pick(now, tier, pool, knowledge.proxies) {
+                return Ok(target_of(beat, None, None));
+            }
+        }
+        Err(Mishap::NoInstance)
+    }
+
+    /// Takes instances back when more than half of those that could serve are put aside.
+    ///
+    /// Why bounded: that many mishaps say more of the way there than of the instances, and the rest
+    /// would be sunk by all the load.
+    fn bound_ejections(&mut self, now: Duration, tiers: &[Vec<&Beat>; 3]) {
         let known: usize = tiers.iter().map(Vec::len).sum();
-        // Why bounded: when more than half are put aside, the mishaps say more of the way there
-        // than of the instances, and the rest would be sunk by all the load.
+        let ejected = tiers
+            .iter()
+            .flatten()
+            .filter(|beat| now < self.watch(beat).ejected_until)
+            .count();
         if ejected * 2 > known {
             for beat in tiers.iter().flatten() {
                 self.watch(beat).ejected_until = Duration::ZERO;
             }
         }
-        for tier in &tiers {
-            let mut free: Vec<&Beat> = Vec::with_capacity(tier.len());
-            let mut cold: Vec<&Beat> = Vec::new();
-            for beat in tier {
-                if !self.has_room(now, beat, pool.instance_cap) {
-                    continue;
-                }
-                if beat.is_cold(pool.warm_span) {
-                    if self.gentle_lets(now, beat, pool, knowledge.proxies) {
-                        cold.push(beat);
-                    }
-                } else {
-                    free.push(beat);
-                }
+    }
+
+    /// Picks within a tier: a cold instance whose turn has come, or the less loaded of two.
+    fn pick<'beats>(
+        &mut self,
+        now: Duration,
+        tier: &[&'beats Beat],
+        pool: &Pool,
+        proxies: u32,
+    ) -> Option<&'beats Beat> {
+        // Why the cold first when their turn has come: it comes seldom, and a cold instance that
+        // is never chosen never warms.
+        let is_cold = |beat: &Beat| beat.is_cold(pool.warm_span);
+        for beat in tier.iter().filter(|beat| is_cold(beat)) {
+            if self.has_room(now, beat, pool.instance_cap)
+                && self.gentle_lets(now, beat, pool, proxies)
+            {
+                return Some(beat);
             }
-            // Why the cold first when their turn has come: it comes seldom, and a cold instance
-            // that is never chosen never warms.
-            let pick = if let Some(beat) = cold.first() {
-                Some(*beat)
-            } else if free.is_empty() {
-                None
-            } else {
-                let first = free[self.chance.below(free.len() as u64) as usize];
-                let second = free[self.chance.below(free.len() as u64) as usize];
-                if self.weight(first) <= self.weight(second) {
-                    Some(first)
-                } else {
-                    Some(second)
-                }
-            };
-            if let Some(beat) = pick {
-                return Ok(target_of(beat, None, None));
+        }
+        // Why by drawing first: nearly always one of two drawn is free, and looking at all of them
+        // for every order is what an order would mostly cost.
+        let mut best: Option<&Beat> = None;
+        for _ in 0..2 {
+            let drawn = *tier.get(self.chance.below(tier.len() as u64) as usize)?;
+            if is_cold(drawn) || !self.has_room(now, drawn, pool.instance_cap) {
+                continue;
             }
+            best = match best {
+                Some(best) if self.weight(best) <= self.weight(drawn) => Some(best),
+                _ => Some(drawn),
+            };
         }
-        Err(Mishap::NoInstance)
+        if best.is_some() {
+            return best;
+        }
+        let start = self.chance.below(tier.len() as u64) as usize;
+        (0..tier.len())
+            .map(|step| tier[(start + step) % tier.len()])
+            .find(|beat| !is_cold(beat) && self.has_room(now, beat, pool.instance_cap))
     }
 
     fn choose_owner(
@@ -699,6 +725,7 @@
             watch.ejected_until = now + span.min(EJECT_MOST);
             watch.ejections += 1;
             watch.mishaps = 0;
+            self.any_ejected_until = self.any_ejected_until.max(watch.ejected_until);
         }
     }
 }
