--- a/crates/caperworks/src/books.rs
+++ b/crates/caperworks/src/books.rs
@@ -305,6 +305,16 @@
         }
     }
 
+    /// Where the seats are heard: all of them, or only the ledgers.
+    pub fn seat_addresses(&self, ledgers_only: bool) -> Vec<SocketAddr> {
+        self.seats()
+            .iter()
+            .flat_map(|seats| &seats.holders)
+            .filter(|holder| holder.ledger || !ledgers_only)
+            .map(|holder| holder.address)
+            .collect()
+    }
+
     pub fn duty(&self, name: &str) -> Option<&DutyTerm> {
         match &self.items.get(&format!("duty/{name}"))?.value {
             Value::Duty { term } => Some(term),
--- a/crates/caperworks/src/link.rs
+++ b/crates/caperworks/src/link.rs
@@ -55,13 +55,7 @@
     /// Every ledger that may answer: those of the cohort, and the seeds.
     fn candidates(&self) -> Vec<SocketAddr> {
         let cohort = self.shelf.follower().book(BookName::Cohort);
-        let mut candidates: Vec<SocketAddr> = cohort
-            .seats()
-            .iter()
-            .flat_map(|seats| &seats.holders)
-            .filter(|holder| holder.ledger)
-            .map(|holder| holder.address)
-            .collect();
+        let mut candidates = cohort.seat_addresses(true);
         for seed in &self.seeds {
             if !candidates.contains(seed) {
                 candidates.push(*seed);
--- a/crates/ledger/src/blackboard.rs
+++ b/crates/ledger/src/blackboard.rs
@@ -180,13 +180,8 @@
 
     /// The other ledgers, by the cohort and by the seeds.
     pub fn other_ledgers(&self) -> BTreeSet<SocketAddr> {
-        let mut addresses: BTreeSet<SocketAddr> = self
-            .seats()
-            .iter()
-            .flat_map(|seats| &seats.holders)
-            .filter(|holder| holder.ledger)
-            .map(|holder| holder.address)
-            .collect();
+        let cohort = self.book(BookName::Cohort);
+        let mut addresses: BTreeSet<SocketAddr> = cohort.seat_addresses(true).into_iter().collect();
         addresses.extend(&self.options.seeds);
         addresses.extend(self.seeds.keys());
         addresses.remove(&self.options.control);
--- a/crates/ledger/src/council.rs
+++ b/crates/ledger/src/council.rs
@@ -45,12 +45,7 @@
 }
 
 pub fn act_on_proposer(board: &mut Blackboard, outcome: ProposerOutcome) {
-    let seats: Vec<SocketAddr> = board
-        .seats()
-        .iter()
-        .flat_map(|seats| &seats.holders)
-        .map(|holder| holder.address)
-        .collect();
+    let seats = board.book(BookName::Cohort).seat_addresses(false);
     for (node, vote) in outcome.to_one {
         if let Some(to) = board.address_of(node) {
             board.send(to, Message::Vote { vote });
@@ -122,23 +117,12 @@
     }
     board.next_round_at = board.now + ROUND_PERIOD;
     let number = board.rounds.begin(board.now);
-    let seats: Vec<SocketAddr> = board
-        .seats()
-        .iter()
-        .flat_map(|seats| &seats.holders)
-        .map(|holder| holder.address)
-        .collect();
-    for to in seats {
-        board.send(to, Message::RoundAsk { number });
-    }
+    let seats = board.book(BookName::Cohort).seat_addresses(false);
     // Why the others too: a ledger without a seat still takes part in what is heard of late.
-    for to in board.other_ledgers() {
-        if !board
-            .seats()
-            .is_some_and(|seats| seats.holders.iter().any(|seat| seat.address == to))
-        {
-            board.send(to, Message::RoundAsk { number });
-        }
+    let mut asked: BTreeSet<SocketAddr> = seats.into_iter().collect();
+    asked.extend(board.other_ledgers());
+    for to in asked {
+        board.send(to, Message::RoundAsk { number });
     }
 }
 
