Tell change sets apart by their encoded form, not by printing them

Cause: every copy of a book prints each change to hash it; mappings of a fleet with very many rules are large and come every two seconds. Ruled out as the main cost of ledgers there: it is the solver, which places every rule.

--- a/crates/caperworks/src/books.rs
+++ b/crates/caperworks/src/books.rs
@@ -215,7 +215,9 @@
 
     /// Tells two change sets under one id apart.
     pub fn digest(&self) -> u64 {
-        steady_hash(&format!("{:?}", self.puts))
+        // Why the encoded form: it is the same on every node, and far cheaper than printing.
+        let bytes = minicbor::to_vec(&self.puts).expect("puts encode");
+        steady_hash_of(&bytes)
     }
 }
 
