--- a/crates/rehearsal/src/observers.rs
+++ b/crates/rehearsal/src/observers.rs
@@ -158,6 +158,13 @@
         self.keeper_lost_at.get_or_insert(at);
     }
 
+    /// A ledger came back; if it still has the duty there is no takeover to wait for.
+    pub fn ledger_back(&mut self, node: NodeId) {
+        if self.keeper == Some(node) {
+            self.keeper_lost_at = None;
+        }
+    }
+
     /// A ledger knows who keeps the tenure.
     pub fn keeper_known(&mut self, at: Duration, holder: NodeId) {
         if self.keeper != Some(holder) {
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -387,6 +387,7 @@
                     .broken(self.day.broken_ledger);
                 let (machine, first) = LedgerMachine::start(options, &node.disk.synced, seed);
                 outputs = first;
+                self.observers.ledger_back(machine.node());
                 Body::Ledger(Box::new(machine))
             }
             Kind::Mentor => {
