Probe long answers: whole ones, and ones that the instance breaks off midway

The stand-in first broke its body before anything had left; the proxy then answered 502, which is right as well, so both ends pass.

--- a/crates/understudy/src/main.rs
+++ b/crates/understudy/src/main.rs
@@ -194,6 +194,7 @@
         let order_id = header(ORDER_HEADER).unwrap_or_default();
         let caller_id = header("x-caller-order").unwrap_or_default();
         let key = header("x-key").unwrap_or_default();
+        let wanted: Option<usize> = header("x-answer-bytes").and_then(|text| text.parse().ok());
         let need = header(DEADLINE_HEADER)
             .and_then(|text| text.parse().ok())
             .map_or(Duration::from_secs(3), Duration::from_millis);
@@ -245,11 +246,20 @@
                 .insert(ORDER_HEADER, HeaderValue::from_static("other"));
             return Ok(answer);
         }
+        if let Some(length) = wanted.filter(|length| *length <= MOST_BODY) {
+            *answer.body_mut() = whole(vec![b'a'; length]);
+        }
         if take_one(&self.ailments.truncate) {
-            *answer.body_mut() = CutShort { pieces: 2 }.boxed();
+            let promised = wanted.unwrap_or(1000);
+            *answer.body_mut() = CutShort {
+                pieces: 2,
+                piece: Bytes::from(vec![b'a'; promised / 3]),
+                paused: false,
+            }
+            .boxed();
             answer
                 .headers_mut()
-                .insert("content-length", HeaderValue::from_static("1000"));
+                .insert("content-length", HeaderValue::from(promised));
         }
         let headers = answer.headers_mut();
         if let Ok(value) = HeaderValue::from_str(&order_id) {
@@ -318,6 +328,8 @@
 /// A body that breaks off before the length its head promised.
 struct CutShort {
     pieces: u32,
+    piece: Bytes,
+    paused: bool,
 }
 
 impl HttpBody for CutShort {
@@ -326,13 +338,19 @@
 
     fn poll_frame(
         mut self: std::pin::Pin<&mut Self>,
-        _context: &mut std::task::Context<'_>,
+        context: &mut std::task::Context<'_>,
     ) -> std::task::Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
-        if self.pieces == 0 {
-            return std::task::Poll::Ready(Some(Err(std::io::Error::other("cut short"))));
+        if self.pieces > 0 {
+            self.pieces -= 1;
+            return std::task::Poll::Ready(Some(Ok(Frame::data(self.piece.clone()))));
+        }
+        if !self.paused {
+            // Why a pause: what was given so far leaves before the body breaks.
+            self.paused = true;
+            context.waker().wake_by_ref();
+            return std::task::Poll::Pending;
         }
-        self.pieces -= 1;
-        std::task::Poll::Ready(Some(Ok(Frame::data(Bytes::from_static(b"{\"order\":")))))
+        std::task::Poll::Ready(Some(Err(std::io::Error::other("cut short"))))
     }
 }
 
--- a/crates/workshop/src/drill.rs
+++ b/crates/workshop/src/drill.rs
@@ -322,7 +322,7 @@
     for proxy in fleet.of("playout") {
         let ready = status_of(proxy, "/caperworks/ready").await;
         if ready.is_some_and(|fetched| fetched.status == 200) {
-            odd = crate::probe::probe(proxy, &scenario).await;
+            odd = crate::probe::probe(proxy, &scenario, &fleet.of("understudy")).await;
             break;
         }
     }
--- a/crates/workshop/src/probe.rs
+++ b/crates/workshop/src/probe.rs
@@ -20,8 +20,62 @@
     Ok(String::from_utf8_lossy(&answer).to_string())
 }
 
+/// How long the long answers are: more than the proxy holds whole.
+const LONG: usize = 300_000;
+
+/// Asks for a long answer on a circuit of its own; says how much of its body came.
+async fn long_answer(to: SocketAddr, read: &Traffic) -> anyhow::Result<usize> {
+    let mut stream = TcpStream::connect(to).await?;
+    let order = format!(
+        "GET {} HTTP/1.1\r\nhost: {}\r\nx-answer-bytes: {LONG}\r\nconnection: close\r\n\r\n",
+        read.path, read.host
+    );
+    stream.write_all(order.as_bytes()).await?;
+    let mut answer = Vec::new();
+    // Why ignored: a circuit that breaks is one of the ends that are looked for.
+    let _ = tokio::time::timeout(Duration::from_secs(8), stream.read_to_end(&mut answer)).await;
+    let head = answer
+        .windows(4)
+        .position(|end| end == b"\r\n\r\n")
+        .context("no head")?
+        + 4;
+    if !answer.starts_with(b"HTTP/1.1 200") {
+        bail!("{}", String::from_utf8_lossy(&answer[..head]));
+    }
+    Ok(answer.len() - head)
+}
+
+/// A long answer must come whole, and one that the instance breaks off must not end as if whole.
+async fn probe_long(proxy: SocketAddr, read: &Traffic, instances: &[SocketAddr]) -> Vec<String> {
+    let mut wrong = Vec::new();
+    match long_answer(proxy, read).await {
+        Ok(LONG) => {}
+        other => wrong.push(format!("a long answer: wanted {LONG} bytes, got {other:?}")),
+    }
+    let body = jzon::object! { kind: "truncate", count: 4 }.dump();
+    for instance in instances {
+        // Why ignored: one that is down cannot ail, and enough others can.
+        let _ = Fetch::post(*instance, "/understudy/ail", body.clone())
+            .send()
+            .await;
+    }
+    // Why two ends are good: if it breaks before anything was sent on, the answer is a 502.
+    match long_answer(proxy, read).await {
+        Ok(length) if length < LONG => println!("a long answer broke off after {length} bytes"),
+        Err(mishap) if mishap.to_string().starts_with("HTTP/1.1 502") => {
+            println!("a long answer broke off before any of it was sent on");
+        }
+        other => wrong.push(format!("a long answer broken off: got {other:?}")),
+    }
+    wrong
+}
+
 /// Probes the proxy; says what was answered otherwise than it must be.
-pub async fn probe(proxy: SocketAddr, scenario: &Scenario) -> Vec<String> {
+pub async fn probe(
+    proxy: SocketAddr,
+    scenario: &Scenario,
+    instances: &[SocketAddr],
+) -> Vec<String> {
     let find = |keyed: bool, method: &Method| {
         scenario
             .traffic
@@ -151,5 +205,6 @@
             ));
         }
     }
+    wrong.extend(probe_long(proxy, read, instances).await);
     wrong
 }
