Probe again when a slice is between owners: the drill's verdict must not hang on the moment

The drill restarts a zone six seconds before; the key's slice had no owner at that moment, so the refusal was right and the probe's demand was not. Now the probes are made up to fifteen times, a second apart, until all are answered as demanded.

--- a/crates/workshop/src/drill.rs
+++ b/crates/workshop/src/drill.rs
@@ -256,6 +256,28 @@
     Ok(())
 }
 
+/// Probes a ready proxy, more than once if need be.
+///
+/// Why again: after the harm a slice may be between owners for some seconds, and an order for it is
+/// then rightly refused; what is wrong of itself stays wrong.
+async fn probe_patiently(fleet: &Fleet, scenario: &Scenario) -> Vec<String> {
+    let mut odd = vec!["no proxy was ready to be probed".to_string()];
+    for _ in 0..15 {
+        for proxy in fleet.of("playout") {
+            let ready = status_of(proxy, "/caperworks/ready").await;
+            if ready.is_some_and(|fetched| fetched.status == 200) {
+                odd = crate::probe::probe(proxy, scenario, &fleet.of("understudy")).await;
+                break;
+            }
+        }
+        if odd.is_empty() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    odd
+}
+
 /// Runs a drill; says whether the run was good.
 pub async fn run(run: &Path, drill: &Drill, base: u16) -> anyhow::Result<bool> {
     up(run, &drill.scenario, base, true).await?;
@@ -318,14 +340,7 @@
         },
     )
     .await?;
-    let mut odd = vec!["no proxy was ready to be probed".to_string()];
-    for proxy in fleet.of("playout") {
-        let ready = status_of(proxy, "/caperworks/ready").await;
-        if ready.is_some_and(|fetched| fetched.status == 200) {
-            odd = crate::probe::probe(proxy, &scenario, &fleet.of("understudy")).await;
-            break;
-        }
-    }
+    let odd = probe_patiently(&fleet, &scenario).await;
     for odd in &odd {
         event(RUN_FAILED, odd);
     }
