--- a/crates/rehearsal/tests/days.rs
+++ b/crates/rehearsal/tests/days.rs
@@ -8,7 +8,8 @@
     let mut failures = Vec::new();
     for seed in &day.seeds {
         let observers = day.play(&scenario, *seed);
-        println!("seed {seed}: {:?}", observers.tally);
+        // Why not to the standard output: there it could part a result line that scripts read.
+        eprintln!("seed {seed}: {:?}", observers.tally);
         let wrong = day.judge(&observers);
         failures.extend(
             wrong
