--- /dev/null
+++ b/crates/rehearsal/tests/known_red.rs
@@ -0,0 +1,208 @@
+//! The comparison of a test run with the list of tests that are known to fail.
+
+use rehearsal::prelude::*;
+
+/// A run in which `broken` failed, as cargo and the test harnesses write it.
+const ONE_FAILS: &str = "\nrunning 3 tests\ntest fine ... ok\ntest skipped ... ignored, by hand\n\
+    test tests::broken - should panic ... FAILED\n\nfailures:\n\n---- tests::broken stdout ----\n\
+    running 1 test\ntest of_the_output ... FAILED\n\nfailures:\n    tests::broken\n\n\
+    test result: FAILED. 1 passed; 1 failed; 1 ignored; 0 measured; 0 filtered out; finished in 0.00s\n\n";
+
+/// A run of padded names without a failure.
+const NONE_FAILS: &str =
+    "\nrunning 2 tests\ntest days::a.json      ... ok\ntest days::longer.json ... ok\n\n\
+    test result: ok. 2 passed; 0 failed; 0 ignored; 0 measured; 0 filtered out; finished in 1.00s\n\n";
+
+const ONE_TARGET_FAILED: &str = "     Running tests/a.rs (target/debug/deps/a-1)\n\
+    error: test failed, to rerun pass `-p a --test a`\nerror: 1 target failed:\n    `-p a --test a`\n";
+
+const LISTED: &str = "# A note.\n\ntests::broken | it counts wrongly | 7\n";
+
+/// Compares; gives whether that passed, and what was written.
+fn compare(case: &str, list: &str, output: &str, errors: &str, status: u8) -> (bool, String) {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"))
+        .join("known_red")
+        .join(case);
+    std::fs::create_dir_all(&folder).expect("the folder is made");
+    let written = |name: &str, text: &str| {
+        let path = folder.join(name);
+        std::fs::write(&path, text).expect("the file is written");
+        path
+    };
+    let done = std::process::Command::new("bash")
+        .arg(concat!(
+            env!("CARGO_MANIFEST_DIR"),
+            "/../../scripts/known-red"
+        ))
+        .arg(written("list", list))
+        .arg(written("output", output))
+        .arg(written("errors", errors))
+        .arg(status.to_string())
+        .output()
+        .expect("bash is there");
+    let text = [done.stdout, done.stderr].concat();
+    (
+        done.status.success(),
+        String::from_utf8(text).expect("it is text"),
+    )
+}
+
+fn failed_with(said: &str) -> (bool, String) {
+    (false, format!("known-red: {said}\n"))
+}
+
+#[test]
+fn given_an_empty_list_when_all_tests_pass_then_the_run_passes() {
+    let run = compare("all_pass", "# A note.\n", NONE_FAILS, "", 0);
+    assert_eq!(run, (true, String::new()));
+}
+
+#[test]
+fn given_an_empty_list_when_a_test_fails_then_the_run_fails() {
+    let run = compare("empty_list", "", ONE_FAILS, ONE_TARGET_FAILED, 101);
+    assert_eq!(run, failed_with("failed and not listed: tests::broken"));
+}
+
+#[test]
+fn given_a_listed_test_when_it_fails_then_it_is_passed_over_and_printed() {
+    let both = format!("{NONE_FAILS}{ONE_FAILS}{NONE_FAILS}");
+    let run = compare("listed", LISTED, &both, ONE_TARGET_FAILED, 101);
+    let said = "known red, passed over: tests::broken | it counts wrongly | 7\n";
+    assert_eq!(run, (true, said.to_string()));
+}
+
+#[test]
+fn given_a_listed_test_when_it_passes_then_the_run_fails() {
+    let list = "days::a.json | it counts wrongly | 7\n";
+    let run = compare("passes", list, NONE_FAILS, "", 0);
+    assert_eq!(
+        run,
+        failed_with("listed, but it passes (take it out of the list): days::a.json")
+    );
+}
+
+#[test]
+fn given_a_listed_test_when_it_passes_in_one_program_and_fails_in_another_then_the_run_fails() {
+    let both = format!(
+        "{ONE_FAILS}{}",
+        NONE_FAILS.replace("days::a.json     ", "tests::broken")
+    );
+    let run = compare("passes_once", LISTED, &both, ONE_TARGET_FAILED, 101);
+    assert_eq!(
+        run,
+        failed_with("listed, but it passes (take it out of the list): tests::broken")
+    );
+}
+
+#[test]
+fn given_a_listed_test_when_there_is_none_of_that_name_then_the_run_fails() {
+    let run = compare("missing", LISTED, NONE_FAILS, "", 0);
+    assert_eq!(
+        run,
+        failed_with("listed, but there is no such test: tests::broken")
+    );
+}
+
+#[test]
+fn given_a_listed_test_when_it_is_ignored_then_the_run_fails() {
+    let list = format!("{LISTED}skipped | it counts wrongly | 7\n");
+    let (passed, said) = compare("ignored", &list, ONE_FAILS, ONE_TARGET_FAILED, 101);
+    assert!(!passed);
+    assert!(
+        said.ends_with("known-red: listed, but it is ignored and did not run: skipped\n"),
+        "{said}"
+    );
+}
+
+#[test]
+fn given_a_listed_failure_when_another_test_fails_too_then_the_run_fails() {
+    let output = ONE_FAILS
+        .replace("fine ... ok", "fine ... FAILED")
+        .replace("1 failed", "2 failed");
+    let (passed, said) = compare("another", LISTED, &output, ONE_TARGET_FAILED, 101);
+    assert!(!passed);
+    assert!(
+        said.contains("known-red: failed and not listed: fine\n"),
+        "{said}"
+    );
+}
+
+#[test]
+fn given_a_listed_failure_when_another_program_dies_without_a_word_then_the_run_fails() {
+    let errors = ONE_TARGET_FAILED.replace("1 target failed", "2 targets failed");
+    let (passed, said) = compare("dies", LISTED, ONE_FAILS, &errors, 101);
+    assert!(!passed);
+    assert!(
+        said.contains("2 failed test programs; 1 told of failures"),
+        "{said}"
+    );
+}
+
+#[test]
+fn given_a_program_that_ends_midway_when_compared_then_the_run_fails() {
+    let output = format!("{NONE_FAILS}\nrunning 2 tests\ntest fine ... ok\n");
+    let run = compare("midway", "", &output, "", 0);
+    assert_eq!(
+        run,
+        failed_with("the output can't be read whole: a test program ended without its result")
+    );
+}
+
+#[test]
+fn given_a_garbled_line_when_compared_then_the_run_fails() {
+    let output = NONE_FAILS.replace("test days::a.json", "some words test days::a.json");
+    let run = compare("garbled", "", &output, "", 0);
+    assert_eq!(
+        run,
+        failed_with("the output can't be read whole: 2 tests were announced, 1 told")
+    );
+}
+
+#[test]
+fn given_cargo_that_fails_when_no_test_failed_then_the_run_fails() {
+    let errors = "error: could not compile `a`\n";
+    let run = compare("no_build", "", NONE_FAILS, errors, 101);
+    assert_eq!(
+        run,
+        failed_with("cargo ended with 101 and no failed test programs; 0 told of failures")
+    );
+}
+
+#[test]
+fn given_an_output_without_tests_when_compared_then_the_run_fails() {
+    let run = compare("nothing", "", "", "", 0);
+    assert_eq!(run, failed_with("the output tells of no test"));
+}
+
+#[test]
+fn given_lists_that_are_malformed_when_compared_then_the_run_fails() {
+    for (case, list, said) in [
+        (
+            "no_issue",
+            "days::a.json | it counts wrongly\n",
+            "a line is not 'test-name | cause | issue': days::a.json | it counts wrongly",
+        ),
+        (
+            "too_many",
+            "days::a.json | it | counts | wrongly\n",
+            "a line is not 'test-name | cause | issue': days::a.json | it | counts | wrongly",
+        ),
+    ] {
+        assert_eq!(compare(case, list, NONE_FAILS, "", 0), failed_with(said));
+    }
+    let twice = format!("{LISTED}tests::broken | it counts wrongly | 8\n");
+    let (passed, said) = compare("twice", &twice, ONE_FAILS, ONE_TARGET_FAILED, 101);
+    assert!(!passed);
+    assert!(
+        said.contains("known-red: listed twice: tests::broken\n"),
+        "{said}"
+    );
+}
+
+#[test]
+fn given_the_list_of_the_repository_when_read_then_its_lines_are_well_formed() {
+    let list = include_str!("../../../KNOWN-RED.txt");
+    let (_, said) = compare("checked_in", list, NONE_FAILS, "", 0);
+    assert!(!said.contains("a line is not"), "{said}");
+    assert!(!said.contains("listed twice"), "{said}");
+}
