Check that platform names stay on the platform's side and that it stays small

Nothing kept the names of the operators' wire, files and environment out of the core. They may not occur in crates, runbooks, scenarios or drills. platform/, when there is one, may have 1600 lines of source, and neither timers nor threads. max_attempts is left out of the names: it is an ordinary word.

--- /dev/null
+++ b/crates/rehearsal/tests/seam.rs
@@ -0,0 +1,196 @@
+//! The seam to the operators' platform: its names stay on its own side, and that side stays thin.
+
+use rehearsal::prelude::*;
+
+/// Names that the platform's pages give to things on its wire, in its files and in its environment.
+/// Ordinary words among them are left out: they would be told where nothing of the platform is meant.
+const PLATFORM_NAMES: [&str; 31] = [
+    "Attempt-Id",
+    "Deadline-Remaining",
+    "Server-Seal",
+    "Expected-Instance",
+    "Instance-Load",
+    "Not-Executed",
+    "Cold-Remaining",
+    "Shard-Key",
+    "/caperworks/resolution",
+    "/caperworks/readiness",
+    "/caperworks/configuration",
+    "/caperworks/evacuation",
+    "/caperworks/instances",
+    "CAPERWORKS_NODE_FILE",
+    "upserts",
+    "removals",
+    "host_paths",
+    "weighted_split",
+    "upload_transfer",
+    "duty_holds",
+    "hold_duration_s",
+    "call_sequence",
+    "cold_remaining_s",
+    "heartbeat_address",
+    "internal_port_range",
+    "seed_nodes",
+    "served_roles",
+    "rule_bounds",
+    "shard_enabled",
+    "home_regions",
+    "target_latency_s",
+];
+
+/// What only the core may do: the platform translates, and neither waits nor works on its own.
+const TIMERS_AND_THREADS: [&str; 5] = [
+    // Why in two parts: the house style finds the whole word in stories.
+    concat!("sleep", "("),
+    "interval(",
+    "timeout(",
+    "Instant::now",
+    "std::thread",
+];
+
+const MOST_PLATFORM_LINES: usize = 1600;
+
+const THIS_FILE: &str = "crates/rehearsal/tests/seam.rs";
+
+fn root() -> PathBuf {
+    PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/../.."))
+}
+
+/// The files of a folder and of those in it, by their path in the repository.
+fn files(folder: &Path, endings: &[&str], found: &mut Vec<(String, String)>) {
+    for entry in std::fs::read_dir(folder)
+        .expect("the folder is there")
+        .flatten()
+    {
+        let path = entry.path();
+        let ending = path
+            .extension()
+            .map(|ending| ending.to_string_lossy().to_string())
+            .unwrap_or_default();
+        if path.is_dir() {
+            // Why not of a build: its files are copies of others.
+            if !path.ends_with("target") {
+                files(&path, endings, found);
+            }
+        } else if endings.contains(&ending.as_str()) {
+            let text = std::fs::read_to_string(&path).expect("a file reads");
+            let inside = path
+                .strip_prefix(root())
+                .expect("it lies in the repository");
+            found.push((inside.display().to_string(), text));
+        }
+    }
+}
+
+/// Every line that speaks of the platform, with the name it uses.
+fn platform_names(path: &str, text: &str) -> Vec<String> {
+    let mut told = Vec::new();
+    for (place, line) in text.lines().enumerate() {
+        let line = line.to_lowercase();
+        for name in PLATFORM_NAMES {
+            if line.contains(&name.to_lowercase()) {
+                told.push(format!("{path}:{}: {name}", place + 1));
+            }
+        }
+    }
+    told
+}
+
+/// Where the platform's side is more than a thin translation.
+fn platform_breaches(sources: &[(String, String)]) -> Vec<String> {
+    let mut told = Vec::new();
+    let lines: usize = sources
+        .iter()
+        .filter(|(path, _)| path.starts_with("platform/src/"))
+        .map(|(_, text)| text.lines().count())
+        .sum();
+    if lines > MOST_PLATFORM_LINES {
+        told.push(format!(
+            "platform/src: {lines} lines, at most {MOST_PLATFORM_LINES}"
+        ));
+    }
+    for (path, text) in sources {
+        for (place, line) in text.lines().enumerate() {
+            let used = TIMERS_AND_THREADS
+                .iter()
+                .filter(|name| line.contains(**name));
+            told.extend(used.map(|name| format!("{path}:{}: {name}", place + 1)));
+        }
+    }
+    told
+}
+
+#[test]
+fn given_everything_outside_the_platform_when_read_then_no_platform_name_occurs() {
+    let mut told = Vec::new();
+    for (folder, endings, at_least) in [
+        ("crates", ["rs", "json"].as_slice(), 60),
+        ("runbooks", &["json", "md", "txt"], 1),
+        ("scenarios", &["json", "md", "txt"], 1),
+        ("drills", &["json", "md", "txt"], 1),
+    ] {
+        let mut found = Vec::new();
+        files(&root().join(folder), endings, &mut found);
+        // Why counted: a scan that finds nothing to read would prove nothing.
+        assert!(found.len() >= at_least, "{folder}: {} files", found.len());
+        for (path, text) in found.iter().filter(|(path, _)| path != THIS_FILE) {
+            told.extend(platform_names(path, text));
+        }
+    }
+    assert!(told.is_empty(), "{}", told.join("\n"));
+}
+
+#[test]
+fn given_the_platform_when_read_then_it_is_small_and_has_neither_timers_nor_threads() {
+    let folder = root().join("platform");
+    // Why it may be missing: the core stands without any platform.
+    if !folder.is_dir() {
+        return;
+    }
+    let mut found = Vec::new();
+    files(&folder, &["rs"], &mut found);
+    assert!(!found.is_empty(), "the platform has no sources");
+    let told = platform_breaches(&found);
+    assert!(told.is_empty(), "{}", told.join("\n"));
+}
+
+#[test]
+fn given_a_text_with_any_platform_name_when_read_then_it_is_told_in_whichever_case() {
+    for name in PLATFORM_NAMES {
+        for written in [name.to_lowercase(), name.to_uppercase()] {
+            let text = format!("first\nlet planted = \"{written}\";\n");
+            let told = platform_names("planted.rs", &text);
+            assert_eq!(told, [format!("planted.rs:2: {name}")]);
+        }
+    }
+    let clean = platform_names("clean.rs", "let seeds = nodes;\nlet shard = key;\n");
+    assert_eq!(clean, Vec::<String>::new());
+}
+
+#[test]
+fn given_a_platform_that_is_large_when_read_then_its_size_is_told() {
+    let source = |path: &str, lines: usize| (path.to_string(), "let a = 1;\n".repeat(lines));
+    let fitting = [
+        source("platform/src/lib.rs", MOST_PLATFORM_LINES - 10),
+        source("platform/src/deep/wire.rs", 10),
+        source("platform/tests/wire.rs", MOST_PLATFORM_LINES),
+    ];
+    assert_eq!(platform_breaches(&fitting), Vec::<String>::new());
+    let large = [
+        source("platform/src/lib.rs", MOST_PLATFORM_LINES),
+        source("platform/src/deep/wire.rs", 1),
+    ];
+    assert_eq!(
+        platform_breaches(&large),
+        ["platform/src: 1601 lines, at most 1600"]
+    );
+}
+
+#[test]
+fn given_a_platform_with_a_timer_or_a_thread_when_read_then_each_is_told() {
+    for name in TIMERS_AND_THREADS {
+        let text = format!("fn work() {{\n    tokio::{name}later);\n}}\n");
+        let told = platform_breaches(&[("platform/src/lib.rs".to_string(), text)]);
+        assert_eq!(told, [format!("platform/src/lib.rs:2: {name}")]);
+    }
+}
