--- a/crates/caperworks/examples/agreement.rs
+++ b/crates/caperworks/examples/agreement.rs
@@ -19,6 +19,7 @@
             value: Some(Value::Seats {
                 seats: Seats { holders },
             }),
+            written: None,
         }],
         guards: Vec::new(),
     };
@@ -48,6 +49,7 @@
                     closed: false,
                 },
             }),
+            written: None,
         }],
         guards: Vec::new(),
     };
--- a/crates/caperworks/examples/dispatch.rs
+++ b/crates/caperworks/examples/dispatch.rs
@@ -9,6 +9,7 @@
         key: key.to_string(),
         expected: None,
         value: Some(value),
+        written: None,
     }
 }
 
@@ -30,8 +31,9 @@
             slices: 1,
             instance_cap: 32,
             key_cap: 1,
-            gentle_per_second: 10,
+            cold_rate_milli: 10000,
             warm_span: Duration::from_secs(5),
+            ..Pool::default()
         },
     };
     let rule = Value::Rule {
@@ -39,10 +41,11 @@
             host: "tallowgum.example".to_string(),
             path: "/progress".to_string(),
             pool: PoolName::new("records"),
-            home: None,
+            homes: Vec::new(),
             deadline: Duration::from_secs(1),
             body_limit: 1000,
             key_header: None,
+            ..Rule::default()
         },
     };
     standing.apply(&Change {
@@ -68,6 +71,7 @@
             up: Duration::from_secs(60),
             holding: Vec::new(),
             let_go: Vec::new(),
+            cold_left: Duration::ZERO,
         })
         .collect();
     let view = ProxyView {
--- a/crates/caperworks/examples/tenure.rs
+++ b/crates/caperworks/examples/tenure.rs
@@ -16,6 +16,7 @@
         up: Duration::from_secs(60),
         holding,
         let_go: Vec::new(),
+        cold_left: Duration::ZERO,
     }
 }
 
@@ -25,8 +26,9 @@
         slices: 8,
         instance_cap: 10,
         key_cap: 2,
-        gentle_per_second: 5,
+        cold_rate_milli: 5000,
         warm_span: Duration::from_secs(3),
+        ..Pool::default()
     };
     let name = PoolName::new("evidence");
     let now = Duration::from_secs(1);
@@ -59,6 +61,7 @@
         key: "slices/evidence".to_string(),
         expected: None,
         value: Some(value),
+        written: None,
     };
     tenure.apply(&Change {
         id: ChangeId::new("plan"),
--- a/crates/caperworks/src/agreement.rs
+++ b/crates/caperworks/src/agreement.rs
@@ -375,6 +375,9 @@
     pub phase_span: Duration,
     pub second_ledger_span: Duration,
     pub give_up: Duration,
+    /// On how many ledgers' disks a change of the standing orders must be synced before it counts
+    /// as accepted, however long that takes; none takes a second one if it can be had soon.
+    pub synced_ledgers: Option<usize>,
     /// Only for proving the observers: how many votes count as a majority, when not the truth.
     pub majority_override: Option<usize>,
     /// Only for proving the observers: of a faulty change set, the sound part is applied.
@@ -387,6 +390,7 @@
             phase_span: Duration::from_millis(300),
             second_ledger_span: Duration::from_millis(250),
             give_up: Duration::from_millis(2500),
+            synced_ledgers: None,
             majority_override: None,
             applies_parts: false,
         }
@@ -764,7 +768,17 @@
         let waited = now.saturating_sub(since) >= self.options.second_ledger_span;
         // Why a second ledger: one machine that says yes and then loses its disk must not take
         // the only synced copy with it; but one that cannot be reached must not stop the core.
-        if ledgers == 0 || (ledgers < 2 && !waited && self.options.majority_override.is_none()) {
+        let synced = self
+            .options
+            .synced_ledgers
+            .filter(|_| self.name == BookName::Standing);
+        let enough = match synced {
+            // Why never fewer: so many disks may be wiped right after the yes while all others lose
+            // power, and one more must still hold it.
+            Some(needed) => ledgers >= needed,
+            None => ledgers >= 2 || waited || self.options.majority_override.is_some(),
+        };
+        if ledgers == 0 || !enough {
             return;
         }
         let (edition, change) = (*edition, change.clone());
--- a/crates/caperworks/src/dispatch.rs
+++ b/crates/caperworks/src/dispatch.rs
@@ -12,6 +12,13 @@
 const MISHAPS_TO_EJECT: u32 = 5;
 const EJECT_SPAN: Duration = Duration::from_secs(2);
 const EJECT_MOST: Duration = Duration::from_secs(16);
+/// For how long an instance that could not be reached is left alone when it does not beat either.
+const UNREACHED_SPAN: Duration = Duration::from_secs(3);
+/// For how long what an instance said of its load counts.
+const REPORT_SPAN: Duration = Duration::from_millis(500);
+/// Up to which load a slot instances are chosen before those of the next tier: the own area, the
+/// region, beyond.
+const SPILL_LOADS: [f64; 3] = [1.25, 2.0, 2.0];
 
 /// The named states of an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,6 +47,7 @@
     BodyTooLarge,
     BadFraming,
     MissingKey,
+    BadKey,
     LateBeforeSending,
     NotOpened,
     InstanceRefused,
@@ -68,7 +76,7 @@
         match self {
             Mishap::NoRule => 404,
             Mishap::BodyTooLarge => 413,
-            Mishap::BadFraming | Mishap::MissingKey => 400,
+            Mishap::BadFraming | Mishap::MissingKey | Mishap::BadKey => 400,
             Mishap::LateAfterSending => 504,
             Mishap::LostAfterSending | Mishap::Garbage => 502,
             _ => 503,
@@ -78,7 +86,11 @@
     /// When to come back, for those that may be tried again with hope.
     pub fn retry_after(self) -> Option<Duration> {
         match self {
-            Mishap::NoRule | Mishap::BodyTooLarge | Mishap::BadFraming | Mishap::MissingKey => None,
+            Mishap::NoRule
+            | Mishap::BodyTooLarge
+            | Mishap::BadFraming
+            | Mishap::MissingKey
+            | Mishap::BadKey => None,
             Mishap::AreaClosed | Mishap::Stale | Mishap::Leaving => Some(Duration::from_secs(2)),
             _ => Some(Duration::from_secs(1)),
         }
@@ -95,6 +107,7 @@
             Mishap::BodyTooLarge => "the body is over the rule's limit",
             Mishap::BadFraming => "the framing is malformed or ambiguous",
             Mishap::MissingKey => "the header with the key is missing",
+            Mishap::BadKey => "the key is none of this pool's",
             Mishap::LateBeforeSending => "the deadline passed before anything was sent",
             Mishap::NotOpened => "no circuit to an instance could be opened",
             Mishap::InstanceRefused => "the instance refused and ran nothing",
@@ -137,6 +150,7 @@
     /// Whether the body can be sent a second time.
     replayable: bool,
     shots: u32,
+    most_shots: u32,
     deadline: Duration,
     /// A shot of this order may have run and its answer is not known.
     doubt: bool,
@@ -152,6 +166,7 @@
             read,
             replayable: true,
             shots: 0,
+            most_shots: MOST_SHOTS,
             deadline: Duration::ZERO,
             doubt: false,
         }
@@ -186,6 +201,15 @@
     pub fn matched(&mut self, now: Duration, rule: &Rule) {
         self.state = OrderState::Matched;
         self.deadline = now + rule.deadline;
+        self.read = rule.may_repeat(self.read);
+        if rule.most_attempts > 0 {
+            self.most_shots = rule.most_attempts;
+        }
+    }
+
+    /// The caller waits no longer than this.
+    pub fn caller_waits(&mut self, until: Duration) {
+        self.deadline = self.deadline.min(until);
     }
 
     pub fn admitted(&mut self, replayable: bool) {
@@ -237,7 +261,7 @@
         self.doubt |= !nothing_ran;
         let may = (nothing_ran || self.read)
             && self.replayable
-            && self.shots < MOST_SHOTS
+            && self.shots < self.most_shots
             && end != ShotEnd::Late
             && now < self.deadline;
         if may && again() {
@@ -326,6 +350,9 @@
     over: bool,
     under_way: u32,
     reported: u32,
+    reported_at: Duration,
+    /// Not chosen before a beat later than this one, or this moment: it could not be reached.
+    unreached: Option<(u64, Duration)>,
     mishaps: u32,
     ejections: u32,
     ejected_until: Duration,
@@ -335,6 +362,7 @@
 /// The target of one shot.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Target {
+    pub pool: PoolName,
     pub instance: InstanceId,
     pub incarnation: Incarnation,
     pub address: SocketAddr,
@@ -369,6 +397,10 @@
     pub closed: BTreeSet<Area>,
     pub regions: BTreeMap<Area, Region>,
     pub proxies: u32,
+    pub policy: ProxyPolicy,
+    /// Instances of areas that were taken back, with the last beat heard before: nobody knows yet
+    /// whether they turned cold.
+    pub doubtful: BTreeMap<InstanceId, u64>,
 }
 
 impl ProxyKnowledge {
@@ -385,11 +417,17 @@
             if Arc::make_mut(&mut self.books).take(news) == Some(BookName::Standing) {
                 let standing = self.books.book(BookName::Standing);
                 self.table = Arc::new(RuleTable::of(standing));
-                self.closed = standing
+                let closed: BTreeSet<Area> = standing
                     .areas()
                     .filter(|(_, order)| order.closed)
                     .map(|(area, _)| area)
                     .collect();
+                let reopened: BTreeSet<Area> = self.closed.difference(&closed).cloned().collect();
+                let doubtful = self.instances.values();
+                let doubtful = doubtful.filter(|beat| reopened.contains(&beat.area));
+                self.doubtful
+                    .extend(doubtful.map(|beat| (beat.id.clone(), beat.counter)));
+                self.closed = closed;
                 self.regions = standing
                     .areas()
                     .map(|(area, order)| (area, order.region.clone()))
@@ -409,6 +447,12 @@
             .map(|beat| (beat.id.clone(), beat.clone()))
             .collect();
         self.proxies = view.proxies.max(1);
+        let instances = &self.instances;
+        self.doubtful.retain(|id, counter| {
+            instances
+                .get(id)
+                .is_some_and(|beat| beat.counter <= *counter)
+        });
         // Why both books: being fresh means acting on at least what the agent held when it said so.
         let caught_up = self.books.book(BookName::Standing).edition >= view.standing
             && self.books.book(BookName::Tenure).edition >= view.tenure;
@@ -430,10 +474,21 @@
         }
     }
 
+    /// Whether an instance may be cold, as far as can be told.
+    fn is_cold(&self, beat: &Beat, pool: &Pool) -> bool {
+        beat.is_cold(pool.warm_span) || self.doubtful.contains_key(&beat.id)
+    }
+
+    /// Whether what is known here may be acted on.
+    pub fn is_usable(&self, now: Duration) -> bool {
+        let known = self.books.book(BookName::Standing).edition > Edition(0);
+        now < self.fresh_until || (self.policy.serves_on && known)
+    }
+
     /// The rule for a host and path.
-    pub fn find(&self, now: Duration, host: &str, path: &str) -> Result<(RuleName, Rule), Mishap> {
+    pub fn find(&self, now: Duration, host: &str, path: &str) -> Result<NamedRoute, Mishap> {
         // Why not "no rule" when stale: a rule may have come that we have not heard of.
-        let otherwise = if now >= self.fresh_until {
+        let otherwise = if !self.is_usable(now) {
             Mishap::Stale
         } else {
             Mishap::NoRule
@@ -443,16 +498,16 @@
 
     /// Whether this proxy may carry anything for the rule now.
     pub fn admits(&self, now: Duration, own_area: &Area, rule: &Rule) -> Result<(), Mishap> {
-        if now >= self.fresh_until {
+        if !self.is_usable(now) {
             return Err(Mishap::Stale);
         }
-        if self.closed.contains(own_area) {
+        if self.closed.contains(own_area) && !self.policy.closed_zone_carries {
             return Err(Mishap::AreaClosed);
         }
-        match &rule.home {
-            Some(home) if self.regions.get(own_area) != Some(home) => Err(Mishap::OutsideHome),
-            _ => Ok(()),
+        if !self.policy.carries_home && !rule.is_at_home(self.regions.get(own_area)) {
+            return Err(Mishap::OutsideHome);
         }
+        Ok(())
     }
 
     /// The last check, at the last moment before the first byte.
@@ -476,7 +531,7 @@
             let holds = self
                 .books
                 .book(BookName::Tenure)
-                .slices(&rule.pool)
+                .slices(&target.pool)
                 .and_then(|table| table.owners.get(slice as usize)?.as_ref())
                 .is_some_and(|owner| owner.epoch == epoch && owner.instance == target.instance);
             if !holds {
@@ -563,15 +618,39 @@
     fn has_room(&mut self, now: Duration, beat: &Beat, pool: &Pool, proxies: u32) -> bool {
         let cap = pool.instance_cap.div_ceil(proxies.max(1));
         let watch = self.watch(beat);
+        if let Some((counter, until)) = watch.unreached {
+            if beat.counter <= counter && now < until {
+                return false;
+            }
+            watch.unreached = None;
+        }
         watch.under_way < cap && now >= watch.ejected_until && !watch.over
     }
 
+    /// No connection came about: until it beats again the instance is not chosen.
+    ///
+    /// Why until then: it may come back cold, and only a beat tells. Why for a while only: it may be
+    /// this proxy alone that cannot reach it.
+    pub fn not_opened(&mut self, now: Duration, target: &Target, counter: u64) {
+        let watch = self.watches.get_mut(&target.instance);
+        if let Some(watch) = watch.filter(|watch| watch.incarnation == target.incarnation) {
+            watch.unreached = Some((counter, now + UNREACHED_SPAN));
+        }
+    }
+
     /// Whether the gentle rate lets a cold instance take one now.
-    fn gentle_lets(&mut self, now: Duration, beat: &Beat, pool: &Pool, proxies: u32) -> bool {
+    fn gentle_lets(
+        &mut self,
+        now: Duration,
+        beat: &Beat,
+        pool: &Pool,
+        knowledge: &ProxyKnowledge,
+    ) -> bool {
         // Why divided: the rate is the instance's, however many proxies there are.
-        let rate = f64::from(pool.gentle_per_second) / f64::from(proxies.max(1));
+        let rate = pool.cold_rate() / f64::from(knowledge.proxies.max(1));
+        let cold = knowledge.is_cold(beat, pool);
         let watch = self.watch(beat);
-        if !beat.is_cold(pool.warm_span) {
+        if !cold {
             watch.gentle = None;
             return true;
         }
@@ -583,9 +662,15 @@
         bucket.tokens >= 1.0
     }
 
-    fn weight(&mut self, beat: &Beat) -> f64 {
+    fn weight(&mut self, now: Duration, beat: &Beat) -> f64 {
         let watch = self.watch(beat);
-        let load = f64::from(watch.under_way) + f64::from(watch.reported.max(beat.load));
+        // Why only of late: an instance that told of much to do and was then left alone would else
+        // be left alone for ever.
+        let told = match now.saturating_sub(watch.reported_at) < REPORT_SPAN {
+            true => watch.reported,
+            false => 0,
+        };
+        let load = f64::from(watch.under_way) + f64::from(told.max(beat.load));
         load / f64::from(beat.capacity.max(1))
     }
 
@@ -599,15 +684,27 @@
         key: Option<&str>,
         tried: &[InstanceId],
     ) -> Result<Target, Mishap> {
-        let pool = knowledge.pool(&rule.pool).ok_or(Mishap::NoInstance)?;
+        self.choose_in(now, knowledge, own_area, rule, &rule.pool, key, tried)
+    }
+
+    /// The same in one of the pools that the rule's requests are split over.
+    #[allow(clippy::too_many_arguments)]
+    pub fn choose_in(
+        &mut self,
+        now: Duration,
+        knowledge: &ProxyKnowledge,
+        own_area: &Area,
+        rule: &Rule,
+        pool_name: &PoolName,
+        key: Option<&str>,
+        tried: &[InstanceId],
+    ) -> Result<Target, Mishap> {
+        let pool = knowledge.pool(pool_name).ok_or(Mishap::NoInstance)?;
         if pool.keyed {
-            return self.choose_owner(now, knowledge, rule, pool, key, tried);
+            return self.choose_owner(now, knowledge, rule, pool_name, pool, key, tried);
         }
         let own_region = knowledge.regions.get(own_area);
-        let beats = knowledge
-            .by_pool
-            .get(&rule.pool)
-            .ok_or(Mishap::NoInstance)?;
+        let beats = knowledge.by_pool.get(pool_name).ok_or(Mishap::NoInstance)?;
         let mut tiers: [Vec<&Beat>; 3] = [Vec::new(), Vec::new(), Vec::new()];
         for beat in beats {
             if beat.state == InstanceState::Leaving
@@ -616,21 +713,26 @@
             {
                 continue;
             }
-            if beat.area == *own_area {
-                tiers[0].push(beat);
-                continue;
-            }
             let region = knowledge.regions.get(&beat.area);
-            if rule.home.is_none() || region == rule.home.as_ref() {
-                tiers[if region == own_region { 1 } else { 2 }].push(beat);
+            if !rule.is_at_home(region) {
+                continue;
             }
+            let tier = match (beat.area == *own_area, region == own_region) {
+                (true, _) => 0,
+                (false, true) => 1,
+                (false, false) => 2,
+            };
+            tiers[tier].push(beat);
         }
         if now < self.any_ejected_until {
             self.bound_ejections(now, &tiers);
         }
-        for tier in &tiers {
-            if let Some(beat) = self.pick(now, tier, pool, knowledge.proxies) {
-                return Ok(target_of(beat, None, None));
+        // Why near ones a second time: when all are busy, waiting near by beats waiting far away.
+        for spill in [SPILL_LOADS, [f64::MAX; 3]] {
+            for (tier, most) in tiers.iter().zip(spill) {
+                if let Some(beat) = self.pick(now, tier, pool, knowledge, most) {
+                    return Ok(target_of(beat, None, None));
+                }
             }
         }
         Err(Mishap::NoInstance)
@@ -660,13 +762,16 @@
         now: Duration,
         tier: &[&'beats Beat],
         pool: &Pool,
-        proxies: u32,
+        knowledge: &ProxyKnowledge,
+        most_load: f64,
     ) -> Option<&'beats Beat> {
+        let proxies = knowledge.proxies;
         // Why the cold first when their turn has come: it comes seldom, and a cold instance that
         // is never chosen never warms.
-        let is_cold = |beat: &Beat| beat.is_cold(pool.warm_span);
+        let is_cold = |beat: &Beat| knowledge.is_cold(beat, pool);
         for beat in tier.iter().filter(|beat| is_cold(beat)) {
-            if self.has_room(now, beat, pool, proxies) && self.gentle_lets(now, beat, pool, proxies)
+            if self.has_room(now, beat, pool, proxies)
+                && self.gentle_lets(now, beat, pool, knowledge)
             {
                 return Some(beat);
             }
@@ -676,11 +781,14 @@
         let mut best: Option<&Beat> = None;
         for _ in 0..2 {
             let drawn = *tier.get(self.chance.below(tier.len() as u64) as usize)?;
-            if is_cold(drawn) || !self.has_room(now, drawn, pool, proxies) {
+            if is_cold(drawn)
+                || !self.has_room(now, drawn, pool, proxies)
+                || self.weight(now, drawn) > most_load
+            {
                 continue;
             }
             best = match best {
-                Some(best) if self.weight(best) <= self.weight(drawn) => Some(best),
+                Some(best) if self.weight(now, best) <= self.weight(now, drawn) => Some(best),
                 _ => Some(drawn),
             };
         }
@@ -690,24 +798,30 @@
         let start = self.chance.below(tier.len() as u64) as usize;
         (0..tier.len())
             .map(|step| tier[(start + step) % tier.len()])
-            .find(|beat| !is_cold(beat) && self.has_room(now, beat, pool, proxies))
+            .find(|beat| {
+                !is_cold(beat)
+                    && self.has_room(now, beat, pool, proxies)
+                    && self.weight(now, beat) <= most_load
+            })
     }
 
+    #[allow(clippy::too_many_arguments)]
     fn choose_owner(
         &mut self,
         now: Duration,
         knowledge: &ProxyKnowledge,
         rule: &Rule,
+        pool_name: &PoolName,
         pool: &Pool,
         key: Option<&str>,
         tried: &[InstanceId],
     ) -> Result<Target, Mishap> {
         let key = key.ok_or(Mishap::MissingKey)?;
-        let slice = slice_of(key, pool.slices);
+        let slice = pool.slice(key).ok_or(Mishap::BadKey)?;
         let owner = knowledge
             .books
             .book(BookName::Tenure)
-            .slices(&rule.pool)
+            .slices(pool_name)
             .and_then(|table| table.owners.get(slice as usize)?.as_ref())
             .ok_or(Mishap::NoOwner)?;
         let beat = knowledge
@@ -716,9 +830,7 @@
             .filter(|beat| beat.incarnation == owner.incarnation)
             .filter(|beat| beat.state != InstanceState::Leaving)
             .filter(|beat| !knowledge.closed.contains(&beat.area))
-            .filter(|beat| {
-                rule.home.is_none() || knowledge.regions.get(&beat.area) == rule.home.as_ref()
-            })
+            .filter(|beat| rule.is_at_home(knowledge.regions.get(&beat.area)))
             // Why not again: an owner that says it does not hold the slice will not hold it in the
             // next moment either, and the shot would be wasted.
             .filter(|beat| !tried.contains(&beat.id))
@@ -733,7 +845,7 @@
             .is_some_and(|watch| watch.under_way >= most || now < watch.rests_until);
         if (hot && !self.no_key_cap)
             || !self.has_room(now, beat, pool, knowledge.proxies)
-            || !self.gentle_lets(now, beat, pool, knowledge.proxies)
+            || !self.gentle_lets(now, beat, pool, knowledge)
         {
             return Err(Mishap::NoInstance);
         }
@@ -789,6 +901,7 @@
         watch.under_way = watch.under_way.saturating_sub(1);
         if let Some(load) = load {
             watch.reported = load;
+            watch.reported_at = now;
         }
         if good {
             watch.mishaps = 0;
@@ -808,6 +921,7 @@
 
 fn target_of(beat: &Beat, slice: Option<(u32, Epoch)>, key: Option<u64>) -> Target {
     Target {
+        pool: beat.pool.clone(),
         instance: beat.id.clone(),
         incarnation: beat.incarnation,
         address: beat.address,
--- a/crates/caperworks/src/facts.rs
+++ b/crates/caperworks/src/facts.rs
@@ -29,6 +29,8 @@
         9 up: Duration,
         10 holding: Vec<u32>,
         11 let_go: Vec<LetGo>,
+        /// How much longer it says that it is cold.
+        12 cold_left: Duration,
     }
 
     #[derive(Copy, Eq)]
@@ -88,7 +90,7 @@
 
     /// Why both: an instance may say that it warms up, and one that came back may forget to.
     pub fn is_cold(&self, warm_span: Duration) -> bool {
-        self.state == InstanceState::Warming || self.up < warm_span
+        self.state == InstanceState::Warming || self.up < warm_span || !self.cold_left.is_zero()
     }
 }
 
@@ -99,18 +101,36 @@
     learned: u64,
 }
 
+/// For how long an instance that said it ended is remembered as gone.
+const ENDED_SPAN: Duration = Duration::from_secs(30);
+
 /// The known instances.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Instances {
     known: BTreeMap<InstanceId, Kept<Beat>>,
+    /// Those that said themselves that they ended, so that no late beat brings them back.
+    ended: BTreeMap<InstanceId, Kept<()>>,
     learned: u64,
+    /// One that was not heard of for this long is gone.
+    pub span: Duration,
+}
+
+impl Default for Instances {
+    fn default() -> Self {
+        Self {
+            known: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            learned: 0,
+            span: INSTANCE_SPAN,
+        }
+    }
 }
 
 impl Instances {
     /// Merges a beat in; says whether it was news.
     pub fn hear(&mut self, now: Duration, heard: &HeardBeat) -> bool {
         let heard_at = now.saturating_sub(heard.age);
-        if now.saturating_sub(heard_at) >= INSTANCE_SPAN {
+        if now.saturating_sub(heard_at) >= self.span || self.ended.contains_key(&heard.beat.id) {
             return false;
         }
         if let Some(kept) = self.known.get(&heard.beat.id) {
@@ -154,10 +174,46 @@
         true
     }
 
+    /// Takes an instance's word that it ended; says whether that was news.
+    pub fn end(&mut self, now: Duration, id: &InstanceId) -> bool {
+        if self.ended.contains_key(id) {
+            return false;
+        }
+        self.known.remove(id);
+        self.learned += 1;
+        let kept = Kept {
+            fact: (),
+            heard_at: now,
+            learned: self.learned,
+        };
+        self.ended.insert(id.clone(), kept);
+        true
+    }
+
+    /// Those that ended, as learned after a place.
+    pub fn ended_after(&self, now: Duration, place: u64) -> Vec<InstanceId> {
+        self.ended
+            .iter()
+            .filter(|(_, kept)| kept.learned > place)
+            .filter(|(_, kept)| now.saturating_sub(kept.heard_at) < ENDED_SPAN)
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    /// Starts every instance's span anew: nobody could be heard for a while.
+    pub fn forgive(&mut self, now: Duration) {
+        for kept in self.known.values_mut() {
+            kept.heard_at = now;
+        }
+    }
+
     pub fn expire(&mut self, now: Duration) -> Vec<InstanceId> {
         let mut gone = Vec::new();
+        let span = self.span;
+        self.ended
+            .retain(|_, kept| now.saturating_sub(kept.heard_at) < ENDED_SPAN);
         self.known.retain(|id, kept| {
-            let lives = now.saturating_sub(kept.heard_at) < INSTANCE_SPAN;
+            let lives = now.saturating_sub(kept.heard_at) < span;
             if !lives {
                 gone.push(id.clone());
             }
--- a/crates/caperworks/src/lib.rs
+++ b/crates/caperworks/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod messages;
 pub mod permits;
 pub mod placement;
+pub mod policy;
 pub mod post;
 pub mod prelude;
 pub mod slots;
--- a/crates/caperworks/src/link.rs
+++ b/crates/caperworks/src/link.rs
@@ -10,7 +10,9 @@
 pub struct CoreLink {
     /// The books that this node follows; the others it need not hold.
     wants: Vec<BookName>,
-    seeds: Vec<SocketAddr>,
+    pub seeds: Vec<SocketAddr>,
+    /// Since when ledgers have answered with a majority behind them, without a gap.
+    assured_since: Option<Duration>,
     ledger: SocketAddr,
     ledger_node: NodeId,
     answered_at: Duration,
@@ -31,6 +33,7 @@
         Self {
             wants: wants.to_vec(),
             seeds,
+            assured_since: None,
             ledger: first,
             ledger_node: NodeId(0),
             answered_at: Duration::ZERO,
@@ -79,6 +82,24 @@
         self.renew_at = now;
     }
 
+    /// Takes out the instances that have not been heard of; none while no ledger could tell of them.
+    ///
+    /// Why: while the core is out of reach nobody's silence means anything.
+    pub fn expire_instances(&mut self, now: Duration) -> Vec<InstanceId> {
+        let span = self.instances.span;
+        if now.saturating_sub(self.answered_at) >= PATIENCE {
+            self.assured_since = None;
+        }
+        let heard_long = self
+            .assured_since
+            .is_some_and(|since| now.saturating_sub(since) >= span);
+        if heard_long {
+            self.instances.expire(now)
+        } else {
+            Vec::new()
+        }
+    }
+
     /// Whether a renewal is due; a silent ledger is left first.
     pub fn due(&mut self, now: Duration) -> bool {
         if now.saturating_sub(self.answered_at) >= PATIENCE {
@@ -118,6 +139,9 @@
             for heard in &granted.instances {
                 self.instances.hear(now, &heard.clone().aged(lain));
             }
+            for id in &granted.gone {
+                self.instances.end(now, id);
+            }
             for heard in &granted.members {
                 self.members.hear(now, &heard.clone().aged(lain));
             }
@@ -134,6 +158,7 @@
                 // Why only then: a ledger that grants but cannot bring the news that its grant
                 // names is of no use, and is left like a silent one.
                 self.answered_at = now;
+                self.assured_since.get_or_insert(now);
             } else {
                 self.renew_at = self.renew_at.min(now + Duration::from_millis(50));
             }
--- a/crates/caperworks/src/messages.rs
+++ b/crates/caperworks/src/messages.rs
@@ -37,6 +37,8 @@
         6 members_place: u64,
         7 news: Vec<Vote>,
         8 assured: bool,
+        /// Instances that ended, as they said themselves.
+        9 gone: Vec<InstanceId>,
     }
 
     /// What one proxy carried in one hour for one rule.
@@ -83,7 +85,7 @@
         4 SeedAnswer { 0 area: Area, 1 founded: bool },
         5 FoundAsk { 0 founding: Founding },
         6 FoundTook { 0 attempt: u64 },
-        7 Facts { 0 instances: Vec<HeardBeat>, 1 members: Vec<HeardMember> },
+        7 Facts { 0 instances: Vec<HeardBeat>, 1 members: Vec<HeardMember>, 2 gone: Vec<InstanceId> },
         8 Renew { 0 renewal: Renewal },
         9 Grant { 0 granted: Granted },
         10 BeatNote { 0 ticket: u64, 1 heard: HeardBeat },
--- a/crates/caperworks/src/placement.rs
+++ b/crates/caperworks/src/placement.rs
@@ -256,6 +256,8 @@
     pub instances: &'view Instances,
     pub members: &'view Members,
     pub last: Option<&'view Mapping>,
+    /// Requests a second for each unit of an instance's capacity.
+    pub requests_per_slot: u32,
 }
 
 impl Solver {
@@ -350,7 +352,7 @@
             if beat.state == InstanceState::Serving {
                 *instance_capacity
                     .entry((beat.pool.clone(), beat.area.clone()))
-                    .or_default() += beat.capacity;
+                    .or_default() += beat.capacity * view.requests_per_slot;
             }
         }
         let mut by_rule: BTreeMap<RuleName, Vec<(String, u32)>> = view
@@ -363,9 +365,7 @@
                 groups.push((group.clone(), measured.demand.ceil().max(1.0) as u32));
             }
         }
-        let may_use = |rule: &Rule, area: &Area| {
-            rule.home.is_none() || regions.get(area) == rule.home.as_ref()
-        };
+        let may_use = |rule: &Rule, area: &Area| rule.is_at_home(regions.get(area));
         // What each rule is expected to bring to a site if it spreads over all it may use.
         let expected: BTreeMap<RuleName, f64> = view
             .standing
@@ -525,6 +525,57 @@
     pub lifetime: Duration,
 }
 
+/// Answers where a client should go for a host with these rules.
+///
+/// Why still an answer without any mapping or rule: a client that is told nothing cannot even be
+/// refused, and any proxy that is alive serves it better.
+pub fn whereabouts_of_host(
+    mapping: Option<&Mapping>,
+    rules: &[&RuleName],
+    group: &str,
+    client_area: &Area,
+    proxies: &[(Area, SocketAddr)],
+    draw: u64,
+) -> Option<Whereabouts> {
+    let mut units: BTreeMap<&Area, u64> = BTreeMap::new();
+    for placement in mapping.iter().flat_map(|mapping| &mapping.groups) {
+        if placement.group == group && rules.contains(&&placement.rule) {
+            for share in &placement.shares {
+                *units.entry(&share.area).or_default() += u64::from(share.units);
+            }
+        }
+    }
+    let alive = |area: &Area| proxies.iter().any(|(known, _)| known == area);
+    let placed: Vec<(&Area, u64)> = units
+        .into_iter()
+        .filter(|(area, units)| *units > 0 && alive(area))
+        .collect();
+    let total: u64 = placed.iter().map(|(_, units)| units).sum();
+    let mut point = draw % total.max(1);
+    let mut chosen = None;
+    for (area, units) in &placed {
+        if point < *units {
+            chosen = Some(*area);
+            break;
+        }
+        point -= units;
+    }
+    // Why the own area for those that nobody has measured: a near proxy is rarely wrong.
+    let chosen = chosen.or_else(|| Some(client_area).filter(|area| alive(area)));
+    let addresses: Vec<SocketAddr> = proxies
+        .iter()
+        .filter(|(area, _)| chosen.is_none_or(|chosen| chosen == area))
+        .map(|(_, address)| *address)
+        .collect();
+    (!addresses.is_empty()).then(|| Whereabouts {
+        rule: rules
+            .first()
+            .map_or(RuleName::new(""), |rule| (*rule).clone()),
+        addresses,
+        lifetime: ANSWER_LIFETIME,
+    })
+}
+
 /// Answers where a client should go, from the last mapping and the proxies last heard of.
 pub fn whereabouts(
     mapping: &Mapping,
--- a/crates/caperworks/src/prelude.rs
+++ b/crates/caperworks/src/prelude.rs
@@ -21,6 +21,7 @@
 pub use crate::messages::*;
 pub use crate::permits::*;
 pub use crate::placement::*;
+pub use crate::policy::*;
 pub use crate::post::*;
 pub use crate::slots::*;
 pub use crate::standing::*;
--- a/crates/caperworks/src/tenure.rs
+++ b/crates/caperworks/src/tenure.rs
@@ -15,22 +15,53 @@
 /// An owner that does not take up a slice for this long is not offered it again.
 const UPTAKE_SPAN: Duration = Duration::from_millis(2500);
 
+/// The spans that a keeper goes by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KeeperSpans {
+    /// How long a hold lives, by the instance's count from when it sent its beat.
+    pub hold: Duration,
+    /// What a hold may last longer by the instance's own clock.
+    pub drift: Duration,
+    /// How long a new keeper waits before it moves what the one before may have granted.
+    pub wait: Duration,
+    /// How long an owner may leave a slice that it was offered.
+    pub uptake: Duration,
+}
+
+impl Default for KeeperSpans {
+    fn default() -> Self {
+        Self {
+            hold: HOLD_SPAN,
+            drift: Duration::ZERO,
+            wait: KEEPER_WAIT,
+            uptake: UPTAKE_SPAN,
+        }
+    }
+}
+
 messages! {
     struct HoldAnswer {
         0 slice: u32,
         1 epoch: Epoch,
         2 left: Duration,
+        /// What the owner before handed on; for the one that takes the slice up.
+        3 handover: Option<String>,
     }
 
-    /// An epoch of a slice that an instance has let go of, for good.
-    #[derive(Copy, Eq)]
-    struct LetGo { 0 slice: u32, 1 epoch: Epoch }
+    /// An epoch of a slice that an instance has let go of, for good; without an epoch the one that
+    /// it held last. What it hands on is for the next owner.
+    #[derive(Eq)]
+    struct LetGo { 0 slice: u32, 1 epoch: Option<Epoch>, 2 handover: Option<String> }
 
     /// The answer to a beat: what the instance holds, and what it is to let go of.
     #[derive(Default)]
     struct BeatAnswer {
         0 holds: Vec<HoldAnswer>,
         1 release: Vec<HoldAnswer>,
+        /// Whether the keeper itself answers, so that what is not named is not to be held.
+        2 by_keeper: bool,
+        /// The control address of the keeper, as far as it is known.
+        3 keeper: Option<SocketAddr>,
     }
 
     /// The answer as the instance gets it from whoever it beats at: with a stamp to give back with
@@ -56,6 +87,10 @@
     releasing: bool,
     spurned: bool,
     released: bool,
+    /// The beat in whose answer the owner was first told to let go.
+    release_told: Option<u64>,
+    /// What the owner handed on when it let go.
+    handover: Option<String>,
     epoch: Epoch,
 }
 
@@ -71,6 +106,7 @@
 pub struct Keeper {
     watches: BTreeMap<(PoolName, u32), SliceWatch>,
     held_since: Duration,
+    pub spans: KeeperSpans,
     /// Only for proving the observers: moves slices without waiting out a hold.
     pub hasty: bool,
     /// Only for proving the observers: takes a beat that does not hold a slice for its release.
@@ -95,7 +131,7 @@
     }
 
     fn watch(&mut self, pool: &PoolName, slice: u32, epoch: Epoch) -> &mut SliceWatch {
-        let bound = self.held_since + KEEPER_WAIT;
+        let bound = self.held_since + self.spans.wait;
         let watch = self
             .watches
             .entry((pool.clone(), slice))
@@ -115,8 +151,12 @@
 
     /// Renews the holds of an instance that beats.
     pub fn beat(&mut self, now: Duration, beat: &Beat, tenure: &Book) -> BeatAnswer {
-        let mut answer = BeatAnswer::default();
-        let span = HOLD_SPAN * if self.generous { 2 } else { 1 };
+        let mut answer = BeatAnswer {
+            by_keeper: true,
+            ..BeatAnswer::default()
+        };
+        let spans = self.spans;
+        let span = spans.hold * if self.generous { 2 } else { 1 };
         let takes_silence = self.takes_silence;
         let Some(table) = tenure.slices(&beat.pool) else {
             return answer;
@@ -135,30 +175,44 @@
             if watch.releasing || watch.spurned {
                 // Why by its word for this very epoch: a beat that left before the slice was taken
                 // up does not hold it either, and it may come late.
-                let let_go = beat
-                    .let_go
-                    .iter()
-                    .any(|given| given.slice == slice && given.epoch >= owner.epoch);
-                watch.released |= watch.releasing && (let_go || takes_silence) && !holding;
+                let told = watch.release_told;
+                let given = beat.let_go.iter().find(|given| {
+                    given.slice == slice
+                        && match given.epoch {
+                            Some(epoch) => epoch >= owner.epoch,
+                            // Why only after it was told: it speaks of what it held last, and an
+                            // earlier beat may speak of an earlier time.
+                            None => told.is_some_and(|told| beat.counter > told),
+                        }
+                });
+                let let_go = given.is_some() || takes_silence;
+                if watch.releasing && let_go && !holding {
+                    watch.released = true;
+                    let handover = given.and_then(|given| given.handover.clone());
+                    watch.handover = handover.or(watch.handover.take());
+                }
+                watch.release_told.get_or_insert(beat.counter);
                 answer.release.push(HoldAnswer {
                     slice,
                     epoch: owner.epoch,
                     left: Duration::ZERO,
+                    handover: None,
                 });
                 continue;
             }
             let offered = *watch.offered_since.get_or_insert(now);
-            if !holding && now.saturating_sub(offered) >= UPTAKE_SPAN {
+            if !holding && now.saturating_sub(offered) >= spans.uptake {
                 // Why stop: it let go under a keeper before us and refuses this epoch for good;
                 // once its hold has surely passed the slice is given out under a new one.
                 watch.spurned = true;
                 continue;
             }
-            watch.until = watch.until.max(now + span);
+            watch.until = watch.until.max(now + span + spans.drift);
             answer.holds.push(HoldAnswer {
                 slice,
                 epoch: owner.epoch,
                 left: span,
+                handover: owner.handover.clone().filter(|_| !holding),
             });
         }
         answer
@@ -251,10 +305,15 @@
                 continue;
             }
             next_epoch = next_epoch.next();
+            let handover = owner.as_ref().and_then(|owner| {
+                let watch = self.watch(name, slice as u32, owner.epoch);
+                watch.handover.take()
+            });
             table.owners[slice] = next.map(|(instance, incarnation)| SliceOwner {
                 instance,
                 incarnation,
                 epoch: next_epoch,
+                handover,
             });
             changed = true;
         }
@@ -374,7 +433,8 @@
             .iter()
             .map(|(slice, epoch)| LetGo {
                 slice: *slice,
-                epoch: *epoch,
+                epoch: Some(*epoch),
+                handover: None,
             })
             .collect()
     }
--- a/crates/caperworks/src/words.rs
+++ b/crates/caperworks/src/words.rs
@@ -11,19 +11,19 @@
 macro_rules! messages {
     () => {};
     ($(#[$meta:meta])* struct $name:ident {
-        $($index:tt $field:ident : $kind:ty),* $(,)?
+        $($(#[$note:meta])* $index:literal $field:ident : $kind:ty),* $(,)?
     } $($rest:tt)*) => {
         $(#[$meta])*
         #[derive(Debug, Clone, PartialEq, minicbor::Encode, minicbor::Decode)]
-        pub struct $name { $(#[n($index)] pub $field: $kind),* }
+        pub struct $name { $($(#[$note])* #[n($index)] pub $field: $kind),* }
         $crate::messages! { $($rest)* }
     };
     ($(#[$meta:meta])* enum $name:ident {
-        $($number:tt $variant:ident $({ $($index:tt $field:ident : $kind:ty),* $(,)? })?),* $(,)?
+        $($(#[$note:meta])* $number:literal $variant:ident $({ $($index:literal $field:ident : $kind:ty),* $(,)? })?),* $(,)?
     } $($rest:tt)*) => {
         $(#[$meta])*
         #[derive(Debug, Clone, PartialEq, minicbor::Encode, minicbor::Decode)]
-        pub enum $name { $(#[n($number)] $variant $({ $(#[n($index)] $field: $kind),* })?),* }
+        pub enum $name { $($(#[$note])* #[n($number)] $variant $({ $(#[n($index)] $field: $kind),* })?),* }
         $crate::messages! { $($rest)* }
     };
     ($(#[$meta:meta])* number $name:ident; $($rest:tt)*) => {
--- a/crates/caperworks/tests/core_stories.rs
+++ b/crates/caperworks/tests/core_stories.rs
@@ -16,6 +16,7 @@
                 closed: false,
             },
         }),
+        written: None,
     }
 }
 
@@ -50,6 +51,7 @@
             key,
             expected: Some(Edition(0)),
             value,
+            written: None,
         }],
     )
 }
@@ -276,6 +278,7 @@
         key: "pool/that-others-have".to_string(),
         expected: None,
         value: None,
+        written: None,
     };
     council.propose(1, 10, change("drop", vec![needs_what_is_not_here]));
     council.tick(1, 50);
@@ -557,6 +560,7 @@
             up: Duration::ZERO,
             holding: Vec::new(),
             let_go: Vec::new(),
+            cold_left: Duration::ZERO,
         },
         age: Duration::ZERO,
     }
--- a/crates/cuesheet/src/lib.rs
+++ b/crates/cuesheet/src/lib.rs
@@ -1,4 +1,5 @@
 //! The directory as a state machine.
 
+pub mod daemon;
 pub mod machine;
 pub mod prelude;
--- a/crates/cuesheet/src/machine.rs
+++ b/crates/cuesheet/src/machine.rs
@@ -72,6 +72,11 @@
         self.link.post.seal(now, control, to, message)
     }
 
+    /// Takes the seeds that the settings name now.
+    pub fn follow_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.link.seeds = seeds;
+    }
+
     pub fn stop_politely(&mut self) {
         self.ready = false;
     }
@@ -140,6 +145,29 @@
         }
     }
 
+    /// Where a client that stands in an area should take its requests for a host, by the shares of
+    /// all rules of that host together.
+    pub fn find_host(
+        &mut self,
+        host: &str,
+        area: &Area,
+        client: IpAddr,
+    ) -> Result<Whereabouts, Nowhere> {
+        let draw = self.chance.draw();
+        let shelf = self.link.shelf.follower();
+        let rules: Vec<&RuleName> = self.table.of_host(host).map(|(name, _)| name).collect();
+        let mapping = shelf.book(BookName::Placement).mapping();
+        whereabouts_of_host(
+            mapping,
+            &rules,
+            &group_of(client),
+            area,
+            &self.proxies,
+            draw,
+        )
+        .ok_or(Nowhere::NoPlace)
+    }
+
     /// Where a client at this address should take an order for this host and path.
     pub fn find(&mut self, host: &str, path: &str, client: IpAddr) -> Result<Whereabouts, Nowhere> {
         let standing = self.link.shelf.follower().book(BookName::Standing);
--- a/crates/cuesheet/src/main.rs
+++ b/crates/cuesheet/src/main.rs
@@ -1,126 +1,17 @@
 //! `cuesheet`: a directory process.
 
-use cuesheet::prelude::*;
 use toolroom::prelude::*;
 
 const HELP: &str = "The directory: tells callers which proxies to use, from the last placement";
+const NEEDS: [&str; 4] = ["control", "serving", "area", "seeds"];
 
-struct Worker {
-    machine: Arc<Mutex<CuesheetMachine>>,
-    port: ControlPort,
-}
-
-impl Host for Worker {
-    type Input = CuesheetInput;
-
-    fn tick() -> CuesheetInput {
-        CuesheetInput::Tick
-    }
-
-    fn take(&mut self, now: Duration, input: CuesheetInput) {
-        let outputs = locked(&self.machine).input(now, input);
-        for output in outputs {
-            match output {
-                CuesheetOutput::Send { to, message } => {
-                    let envelope = locked(&self.machine).seal(now, to, message);
-                    self.port.forward(to, &envelope);
-                }
-                CuesheetOutput::Moved { book, edition } => {
-                    event(BOOK_MOVED, format!("{book} at {edition}"));
-                }
-            }
-        }
-    }
-}
-
-fn answer(
-    machine: &Mutex<CuesheetMachine>,
-    caller: SocketAddr,
-    order: &Request<Incoming>,
-) -> Response<Body> {
-    match (order.method(), order.uri().path()) {
-        (&Method::GET, "/ready") => ready_answer(locked(machine).has_mapping()),
-        (&Method::GET, "/where") => {
-            let query = order.uri().query().unwrap_or_default();
-            let field = |name: &str| {
-                query
-                    .split('&')
-                    .filter_map(|pair| pair.split_once('='))
-                    .find(|(key, _)| *key == name)
-                    .map(|(_, value)| value.to_string())
-            };
-            let (Some(host), Some(path)) = (field("host"), field("path")) else {
-                return json_answer(400, &jzon::object! { why: "give host=NAME and path=/PATH" });
-            };
-            match locked(machine).find(&host, &path, caller.ip()) {
-                Ok(found) => {
-                    let addresses: Vec<String> =
-                        found.addresses.iter().map(SocketAddr::to_string).collect();
-                    json_answer(
-                        200,
-                        &jzon::object! {
-                            rule: found.rule.as_str(),
-                            addresses: addresses,
-                            lifetime_ms: found.lifetime.as_millis() as u64,
-                        },
-                    )
-                }
-                Err(Nowhere::NoRule) => json_answer(404, &jzon::object! { why: "no rule matches" }),
-                Err(Nowhere::NoPlace) => {
-                    json_answer(503, &jzon::object! { why: "there is no proxy to name yet" })
-                }
-            }
-        }
-        _ => json_answer(404, &jzon::object! { why: "there is no such resource" }),
-    }
-}
-
-#[tokio::main(worker_threads = 2)]
-async fn main() -> anyhow::Result<()> {
+fn main() -> anyhow::Result<()> {
     let flags = read_flags(&place_flags().to_options().descr(HELP));
-    let place = Place::read_or_end(&flags, &["control", "serving", "area", "seeds"]);
+    let place = Place::read_or_end(&flags, &NEEDS);
     start_log()?;
-    let clock = Clock::start();
-    let options = CuesheetOptions {
-        control: place.advertise,
-        serving: place.serving,
-        area: place.area.clone(),
-        seeds: place.seeds.clone(),
-    };
-    let machine = CuesheetMachine::start(options, fresh_seed());
-    let node = machine.node();
-    let machine = Arc::new(Mutex::new(machine));
-    let (inbox, receiver) = Inbox::open();
-    let port = ControlPort::open(node, place.control, place.advertise, move |envelope| {
-        inbox.give(CuesheetInput::Heard { envelope });
-    })
-    .await?;
-    event(
-        STARTED,
-        format!(
-            "cuesheet {node} control {} serving {}",
-            place.control, place.serving
-        ),
-    );
-    let worker = Worker {
-        machine: machine.clone(),
-        port,
-    };
-    open_desk(worker, clock, receiver, Duration::from_millis(25));
-    let listener = listen(place.serving).await?;
-    let stop = Arc::new(AtomicBool::new(false));
-    let stopping = stop.clone();
-    let answering = machine.clone();
-    tokio::spawn(serve_http(listener, stop, move |far_end, order| {
-        let answer = answer(&answering, far_end.address, &order);
-        async move { Ok(answer) }
-    }));
-    asked_to_stop().await;
-    event(STOPPING, "");
-    locked(&machine).stop_politely();
-    stopping.store(true, Ordering::Relaxed);
-    // Why a moment: probes see that we are not ready, and answers under way leave.
-    tokio::time::sleep(Duration::from_millis(500)).await;
-    event(STOPPED, "");
-    Ok(())
+    let reread: Reread = Arc::new(move || Place::read(&flags, &NEEDS).ok());
+    run_daemon(
+        place.terms.workers,
+        cuesheet::daemon::run(place, reread, cuesheet::daemon::own_interface()),
+    )
 }
--- a/crates/ledger/src/agents.rs
+++ b/crates/ledger/src/agents.rs
@@ -22,6 +22,10 @@
 ///
 /// Why before it is offered: what is refused here is surely not accepted, and can be sent again.
 pub fn could_say_yes(board: &Blackboard) -> bool {
+    // Why: proxies that serve on ask no agents what may have been accepted.
+    if board.options.core.proxies_serve_on {
+        return true;
+    }
     let agents = in_touch(board);
     board
         .book(BookName::Cohort)
@@ -63,6 +67,7 @@
     }
     let cohort = board.book(BookName::Cohort);
     let held = match cohort.roster() {
+        _ if board.options.core.proxies_serve_on => board.book(BookName::Standing).edition,
         _ if board.options.broken == Broken::HastyYes => board.book(BookName::Standing).edition,
         None => board.book(BookName::Standing).edition,
         // Why only while current: a ledger that was cut off may go by a roster that is over.
@@ -117,6 +122,10 @@
 
 /// The next roster, if it is due: agents join by themselves, one step after the other.
 pub fn next_roster(board: &Blackboard) -> Option<Roster> {
+    // Why none: islands are for proxies that fall silent, and nobody else asks for the roster.
+    if board.options.core.proxies_serve_on {
+        return None;
+    }
     let agents = in_touch(board);
     let Some(roster) = board.book(BookName::Cohort).roster() else {
         let members: Vec<SocketAddr> = agents.into_keys().collect();
--- a/crates/ledger/src/blackboard.rs
+++ b/crates/ledger/src/blackboard.rs
@@ -20,6 +20,7 @@
     pub slot_room: u64,
     pub log_room: u64,
     pub proposer: ProposerOptions,
+    pub core: CorePolicy,
     /// Only for proving the observers: the named safeguard is left out.
     pub broken: Broken,
 }
@@ -58,10 +59,17 @@
             slot_room: 16 * 1024 * 1024,
             log_room: 8 * 1024 * 1024,
             proposer: ProposerOptions::default(),
+            core: CorePolicy::default(),
             broken: Broken::Nothing,
         }
     }
 
+    pub fn core(mut self, core: CorePolicy) -> Self {
+        self.proposer.synced_ledgers = core.synced_ledgers;
+        self.core = core;
+        self
+    }
+
     pub fn disk_room(mut self, slot_room: u64, log_room: u64) -> Self {
         self.slot_room = slot_room;
         self.log_room = log_room;
@@ -105,6 +113,14 @@
     pub until: Duration,
 }
 
+/// A beat that was passed on to the keeper.
+#[derive(Debug, Clone)]
+pub struct WaitingBeat {
+    pub ticket: u64,
+    pub number: u64,
+    pub until: Duration,
+}
+
 /// An answer to an operator that may be given once enough agents hold an edition.
 #[derive(Debug, Clone)]
 pub struct Awaiting {
@@ -148,6 +164,9 @@
     pub next_round_at: Duration,
 
     pub instances: Instances,
+    /// Beats that wait for the keeper's answer.
+    pub beats: Vec<WaitingBeat>,
+    pub next_beat: u64,
     pub members: Members,
     pub shared_instances: u64,
     pub shared_members: u64,
--- a/crates/ledger/src/council.rs
+++ b/crates/ledger/src/council.rs
@@ -190,7 +190,9 @@
             board.send(*seed, Message::SeedAsk { area, founded });
         }
     }
-    if !unknown || seeds.first() != Some(&board.options.control) {
+    // Why only if told so: a disk that is empty later was lost, and what it held is elsewhere.
+    let may_found = board.options.core.may_found;
+    if !unknown || !may_found || seeds.first() != Some(&board.options.control) {
         return;
     }
     let others: Vec<(SocketAddr, SeedSeen)> = seeds
@@ -252,7 +254,8 @@
 
 pub fn hear_found_ask(board: &mut Blackboard, reply_to: SocketAddr, founding: Founding) {
     let ours = founding.seats.holder(board.node).is_some();
-    if board.book(BookName::Cohort).edition > Edition(0) || !ours {
+    let may_found = board.options.core.may_found;
+    if board.book(BookName::Cohort).edition > Edition(0) || !ours || !may_found {
         return;
     }
     let attempt = founding.attempt;
@@ -287,6 +290,7 @@
             value: Some(Value::Seats {
                 seats: founding.seats.clone(),
             }),
+            written: None,
         }],
         guards: Vec::new(),
     };
--- /dev/null
+++ b/crates/ledger/src/daemon.rs
@@ -0,0 +1,383 @@
+//! The core process: its state machine at a desk, its disk, and its answers over HTTP.
+
+use crate::prelude::*;
+use toolroom::prelude::*;
+
+struct Worker {
+    machine: LedgerMachine,
+    port: ControlPort,
+    disk: std::sync::mpsc::Sender<(u64, Vec<DiskWrite>)>,
+    tickets: Arc<Tickets<OperatorAnswer>>,
+    /// Until when the last round lets this ledger vouch for what it knows.
+    ready_until: Arc<ReadyUntil>,
+    stopped: Arc<Notify>,
+}
+
+impl Worker {
+    /// Does what follows from an input; what the machine says to itself comes next.
+    fn act(&mut self, outputs: Vec<LedgerOutput>, next: &mut VecDeque<LedgerInput>) {
+        for output in outputs {
+            match output {
+                LedgerOutput::Send { to, message } => {
+                    let envelope = self.machine.seal(to, message);
+                    if to == self.port.own() {
+                        next.push_back(LedgerInput::Heard { envelope });
+                    } else {
+                        self.port.forward(to, &envelope);
+                    }
+                }
+                LedgerOutput::Write { ticket, writes } => {
+                    if self.disk.send((ticket, writes)).is_err() {
+                        next.push_back(LedgerInput::WriteFailed { ticket });
+                    }
+                }
+                LedgerOutput::Answer { ticket, answer } => self.tickets.answer(ticket, answer),
+                LedgerOutput::Note { event } => tell(&event),
+                LedgerOutput::Stopped => self.stopped.notify_one(),
+            }
+        }
+    }
+}
+
+impl Host for Worker {
+    type Input = LedgerInput;
+
+    fn tick() -> LedgerInput {
+        LedgerInput::Tick
+    }
+
+    fn take(&mut self, now: Duration, input: LedgerInput) {
+        let mut next = VecDeque::from([input]);
+        while let Some(input) = next.pop_front() {
+            let outputs = self.machine.input(now, input);
+            self.act(outputs, &mut next);
+        }
+        self.ready_until.set(self.machine.board.current_until());
+    }
+}
+
+fn tell(what: &Event) {
+    match what {
+        Event::Founded => event(FOUNDED, ""),
+        Event::BookMoved { book, edition } => event(BOOK_MOVED, format!("{book} at {edition}")),
+        Event::DutyWanted { duty, epoch } => event(DUTY_WANTED, format!("{duty} under {epoch}")),
+        Event::KeeperTookUp { epoch } => event(KEEPER_TOOK_UP, format!("epoch {epoch}")),
+        Event::StateTooLarge { bytes } => event(STATE_TOO_LARGE, format!("{bytes} bytes")),
+        Event::DiskRefused => event(DISK_REFUSED, ""),
+        Event::DiskWell => event(DISK_WELL, ""),
+        Event::Damaged { why } => event(DISK_DAMAGED, why),
+        Event::InstanceGone { id } => event(INSTANCE_GONE, id),
+        Event::MemberGone { node } => event(MEMBER_GONE, node),
+        Event::SeatWanted { why } => event(SEAT_WANTED, why),
+        Event::SeatRefused { why } => event(SEAT_REFUSED, why),
+        Event::FencedOff { what } => event(FENCED_OFF, what),
+    }
+}
+
+/// The way from a call over HTTP to the machine.
+#[derive(Clone)]
+pub struct CoreDesk {
+    inbox: Inbox<LedgerInput>,
+    tickets: Arc<Tickets<OperatorAnswer>>,
+    clock: Clock,
+    ready_until: Arc<ReadyUntil>,
+    stopping: Arc<AtomicBool>,
+}
+
+impl CoreDesk {
+    async fn ask(&self, input: impl FnOnce(u64) -> LedgerInput) -> Option<OperatorAnswer> {
+        let (ticket, answer) = self.tickets.draw();
+        if !self.inbox.give(input(ticket)) {
+            self.tickets.forget(ticket);
+            return None;
+        }
+        answer.await.ok()
+    }
+
+    pub async fn call(&self, call: OperatorCall) -> Option<OperatorAnswer> {
+        self.ask(|ticket| LedgerInput::Operator { ticket, call })
+            .await
+    }
+
+    /// Whether this ledger hears a majority and is not about to stop.
+    pub fn is_ready(&self) -> bool {
+        self.ready_until.is_ready(self.clock.now()) && !self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// Whether this ledger is about to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// Hands a beat in; nothing when the ledger has too much to do.
+    pub async fn beat(&self, beat: Beat, echo: Option<Echo>) -> Option<DatedAnswer> {
+        let give = |ticket| LedgerInput::Beat { ticket, beat, echo };
+        match self.ask(give).await {
+            Some(OperatorAnswer::Beat { answer }) => Some(answer),
+            _ => None,
+        }
+    }
+
+    /// Takes an instance's word that this life of it is over.
+    pub async fn gone(&self, id: InstanceId) -> bool {
+        let give = |ticket| LedgerInput::Gone { ticket, id };
+        self.ask(give).await.is_some()
+    }
+
+    /// The product's own interface.
+    pub async fn answer(&self, order: Request<Incoming>) -> Response<Body> {
+        let path = order.uri().path().to_string();
+        let query = order.uri().query().unwrap_or_default().to_string();
+        let method = order.method().clone();
+        let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+        match (&method, parts.as_slice()) {
+            (&Method::GET, ["ready"]) => ready_answer(self.is_ready()),
+            (&Method::POST, ["v1", "standing"]) => self.apply(order).await,
+            (&Method::GET, ["v1", "standing"]) => self.read(None).await,
+            (&Method::GET, ["v1", "standing", kind, name]) => {
+                self.read(Some(format!("{kind}/{name}"))).await
+            }
+            (&Method::POST, ["v1", "roster"]) => self.retire(order).await,
+            (&Method::GET, ["v1", "changes"]) => self.watch(&query).await,
+            (&Method::GET, ["v1", "status"]) => match self.call(OperatorCall::Status).await {
+                Some(OperatorAnswer::Status { status }) => json_answer(200, &status_json(&status)),
+                _ => not_current(),
+            },
+            (&Method::POST, ["beats"]) => self.hear_beat(order).await,
+            _ => json_answer(404, &jzon::object! { why: "there is no such resource" }),
+        }
+    }
+
+    async fn apply(&self, order: Request<Incoming>) -> Response<Body> {
+        let body = match small_body(order.into_body(), MOST_BYTES).await {
+            Ok(body) => body,
+            Err(status) => {
+                let why = if status == 413 {
+                    format!("a change set has at most {MOST_BYTES} bytes")
+                } else {
+                    "the body broke off".to_string()
+                };
+                let fault = [Fault::new("body", why)];
+                return json_answer(400, &verdict_json(&Verdict::Faulty(fault.to_vec())).1);
+            }
+        };
+        let (change, mut faults) = read_form(&String::from_utf8_lossy(&body));
+        let call = if faults.is_empty() {
+            OperatorCall::Apply { change }
+        } else {
+            // Why checked all the same: one answer is to name every fault, of form and of sense.
+            OperatorCall::Check { change }
+        };
+        let verdict = match self.call(call).await {
+            Some(OperatorAnswer::Verdict {
+                verdict: Verdict::Faulty(more),
+            }) => {
+                faults.extend(more);
+                Verdict::Faulty(faults)
+            }
+            Some(OperatorAnswer::Verdict { verdict }) => verdict,
+            Some(OperatorAnswer::Leaving) => return leaving(),
+            _ => Verdict::Unknown,
+        };
+        let (status, json) = verdict_json(&verdict);
+        json_answer(status, &json)
+    }
+
+    async fn retire(&self, order: Request<Incoming>) -> Response<Body> {
+        let body = small_body(order.into_body(), 64 * 1024).await;
+        let text = body.unwrap_or_default();
+        let verdict = match read_drop(&String::from_utf8_lossy(&text)) {
+            Err(faults) => Verdict::Faulty(faults),
+            Ok(dropped) => match self.call(OperatorCall::Retire { dropped }).await {
+                Some(OperatorAnswer::Verdict { verdict }) => verdict,
+                Some(OperatorAnswer::Leaving) => return leaving(),
+                _ => Verdict::Unknown,
+            },
+        };
+        let (status, json) = verdict_json(&verdict);
+        json_answer(status, &json)
+    }
+
+    async fn read(&self, key: Option<String>) -> Response<Body> {
+        let Some(OperatorAnswer::Standing { book }) = self.call(OperatorCall::Read).await else {
+            return not_current();
+        };
+        match key {
+            None => json_answer(200, &book_json(&book)),
+            Some(key) => match book.items.get(&key) {
+                Some(item) => json_answer(200, &item_json(&key, item.edition, &item.value)),
+                None => json_answer(404, &jzon::object! { why: format!("there is no {key}") }),
+            },
+        }
+    }
+
+    async fn watch(&self, query: &str) -> Response<Body> {
+        let field = |name: &str| -> Option<u64> {
+            query
+                .split('&')
+                .filter_map(|pair| pair.split_once('='))
+                .find(|(key, _)| *key == name)
+                .and_then(|(_, value)| value.parse().ok())
+        };
+        let Some(after) = field("after") else {
+            let why = "give after=EDITION, and wait_ms=MILLISECONDS if you want to wait";
+            return json_answer(400, &jzon::object! { why: why });
+        };
+        let wait = Duration::from_millis(field("wait_ms").unwrap_or(0).min(30_000));
+        let after = Edition(after);
+        match self.call(OperatorCall::Watch { after, wait }).await {
+            Some(OperatorAnswer::Changes { edition, news }) => {
+                json_answer(200, &news_json(edition, news))
+            }
+            _ => not_current(),
+        }
+    }
+
+    async fn hear_beat(&self, order: Request<Incoming>) -> Response<Body> {
+        let beat = match small_body(order.into_body(), 64 * 1024).await {
+            Ok(body) => beats::read_dated(&String::from_utf8_lossy(&body)),
+            Err(_) => Err("the body is too large or broke off".to_string()),
+        };
+        match beat {
+            Err(why) => json_answer(400, &jzon::object! { why: why }),
+            Ok((beat, echo)) => match self.beat(beat, echo).await {
+                Some(answer) => json_answer(200, &beats::write_dated(&answer)),
+                None => not_current(),
+            },
+        }
+    }
+}
+
+fn leaving() -> Response<Body> {
+    let why = "this ledger is about to stop: ask another; nothing was applied";
+    json_answer(503, &jzon::object! { outcome: "refused", why: why })
+}
+
+fn not_current() -> Response<Body> {
+    let why = "this ledger cannot vouch for what it knows: no majority was heard of late";
+    json_answer(503, &jzon::object! { why: why })
+}
+
+fn news_json(edition: Edition, news: Option<Vote>) -> JsonValue {
+    let mut json = jzon::object! { edition: edition.0 };
+    match news {
+        Some(Vote::News { changes, .. }) => {
+            let list: Vec<JsonValue> = changes
+                .iter()
+                .map(|numbered| {
+                    let puts: Vec<JsonValue> = numbered
+                        .change
+                        .puts
+                        .iter()
+                        .map(|put| match &put.value {
+                            Some(value) => item_json(&put.key, numbered.edition, value),
+                            None => jzon::object! { dropped: put.key.as_str() },
+                        })
+                        .collect();
+                    jzon::object! {
+                        edition: numbered.edition.0,
+                        id: numbered.change.id.as_str(),
+                        items: puts,
+                    }
+                })
+                .collect();
+            json["changes"] = list.into();
+        }
+        Some(Vote::Whole { whole, .. }) => json["snapshot"] = book_json(&whole),
+        _ => json["changes"] = JsonValue::new_array(),
+    }
+    json
+}
+
+/// What answers calls over HTTP: the product's own interface, or another that stands in for it.
+pub type Interface =
+    Arc<dyn Fn(CoreDesk, Request<Incoming>) -> BoxedAnswer + Send + Sync + 'static>;
+
+/// The product's own interface.
+pub fn own_interface() -> Interface {
+    Arc::new(|desk, request| Box::pin(async move { desk.answer(request).await }))
+}
+
+/// Runs a ledger until it is asked to stop.
+pub async fn run(place: Place, reread: Reread, interface: Interface) -> anyhow::Result<()> {
+    let clock = Clock::start();
+    let slot_room = place.slot_megabytes * 1024 * 1024;
+    let log_room = place.log_megabytes * 1024 * 1024;
+    outlive_file_limits()?;
+    let folder = DataFolder::open(&place.data, slot_room, log_room)?;
+    let options = LedgerOptions::new(place.advertise, place.area.clone(), place.seeds.clone())
+        .disk_room(slot_room, log_room)
+        .core(place.terms.core.clone());
+    let (machine, outputs) = LedgerMachine::start(options, &folder.image()?, fresh_seed());
+    let (inbox, receiver) = Inbox::open();
+    let heard = inbox.clone();
+    let port = ControlPort::open(
+        machine.node(),
+        place.control,
+        place.advertise,
+        move |envelope| {
+            heard.give(LedgerInput::Heard { envelope });
+        },
+    )
+    .await?;
+    let written = inbox.clone();
+    let disk = folder.start_writer(move |ticket, well| {
+        // Why surely: without this word nothing more would ever leave.
+        written.give_surely(if well {
+            LedgerInput::Synced { ticket }
+        } else {
+            LedgerInput::WriteFailed { ticket }
+        });
+    });
+    let tickets = Arc::new(Tickets::default());
+    let ready_until = Arc::new(ReadyUntil::default());
+    let stopped = Arc::new(Notify::new());
+    let stopping = Arc::new(AtomicBool::new(false));
+    event(
+        STARTED,
+        format!(
+            "ledger {} control {} serving {} area {}",
+            machine.node(),
+            place.control,
+            place.serving,
+            place.area
+        ),
+    );
+    let mut worker = Worker {
+        machine,
+        port,
+        disk,
+        tickets: tickets.clone(),
+        ready_until: ready_until.clone(),
+        stopped: stopped.clone(),
+    };
+    let mut next = VecDeque::new();
+    worker.act(outputs, &mut next);
+    next.into_iter()
+        .for_each(|input| worker.take(clock.now(), input));
+    open_desk(worker, clock, receiver, place.terms.tick);
+    let asked = inbox.clone();
+    let desk = CoreDesk {
+        inbox,
+        tickets,
+        clock,
+        ready_until,
+        stopping: stopping.clone(),
+    };
+    let listener = listen(place.serving).await?;
+    let stop = Arc::new(AtomicBool::new(false));
+    tokio::spawn(serve_http(listener, stop, move |_, order| {
+        let answering = interface(desk.clone(), order);
+        async move { Ok(answering.await) }
+    }));
+    let told = asked.clone();
+    follow_settings(reread, move |seeds| {
+        told.give(LedgerInput::Seeds { seeds });
+    });
+    asked_to_stop().await;
+    event(STOPPING, "");
+    stopping.store(true, Ordering::SeqCst);
+    stop_politely(&asked, LedgerInput::Stop, &stopped).await;
+    event(STOPPED, "");
+    Ok(())
+}
--- a/crates/ledger/src/duties.rs
+++ b/crates/ledger/src/duties.rs
@@ -3,8 +3,6 @@
 use crate::prelude::*;
 
 const PLAN_PERIOD: Duration = Duration::from_millis(200);
-/// How long a new holder listens before it acts on facts, so that it has heard everyone once.
-const LISTEN_SPAN: Duration = Duration::from_millis(1200);
 
 pub fn tick_duties(board: &mut Blackboard) {
     let now = board.now;
@@ -80,6 +78,7 @@
             key,
             expected: Some(expected),
             value: Some(value),
+            written: None,
         }],
         guards: Vec::new(),
     }
@@ -115,7 +114,10 @@
         return;
     };
     // Why a standing book as well: a mapping of rules that are gone helps nobody.
-    if held < LISTEN_SPAN || board.asked(&Asker::Solver) || !board.is_current(BookName::Standing) {
+    if held < board.options.core.listen
+        || board.asked(&Asker::Solver)
+        || !board.is_current(BookName::Standing)
+    {
         return;
     }
     // Why nothing when there is no proxy at all: the last mapping is then the best there is.
@@ -128,6 +130,7 @@
         instances: &board.instances,
         members: &board.members,
         last: board.seat.book(BookName::Placement).mapping(),
+        requests_per_slot: board.options.core.requests_per_slot,
     };
     let Some(mapping) = board.solver.step(now, epoch, &view) else {
         return;
@@ -149,6 +152,7 @@
     if board.keeper_epoch != Some(epoch) {
         board.keeper_epoch = Some(epoch);
         board.keeper_since = board.now;
+        board.keeper.spans = board.options.core.keeper;
         board.keeper.take_up(board.now);
         board.keeper.hasty = board.options.broken == Broken::HastyKeeper;
         board.keeper.takes_silence = board.options.broken == Broken::TakesSilence;
@@ -156,7 +160,7 @@
         board.note(Event::KeeperTookUp { epoch });
     }
     let now = board.now;
-    if held < LISTEN_SPAN || now < board.plan_at || board.asked(&Asker::Tenure) {
+    if held < board.options.core.listen || now < board.plan_at || board.asked(&Asker::Tenure) {
         return;
     }
     board.plan_at = now + PLAN_PERIOD;
@@ -192,9 +196,6 @@
     }
 }
 
-/// How many seats there should be, and how many of them ledgers.
-const SEATS: usize = 5;
-const LEDGER_SEATS: usize = 3;
 /// A witness that was silent for this long has lost what it knew or is about to.
 const WITNESS_LOST: Duration = Duration::from_millis(2500);
 /// How often a change of seats that cannot be made is noted.
@@ -206,7 +207,10 @@
 
 /// Sees to it that the seats are held by the living: one change at a time.
 fn seat(board: &mut Blackboard, held: Duration) {
-    if held < LISTEN_SPAN || board.asked(&Asker::Seating) || !board.is_current(BookName::Cohort) {
+    if held < board.options.core.listen
+        || board.asked(&Asker::Seating)
+        || !board.is_current(BookName::Cohort)
+    {
         return;
     }
     let Some(seats) = board.seats().cloned() else {
@@ -301,7 +305,7 @@
     };
     let newcomer = waiting_ledger(board, seats);
     let ledgers = seats.holders.iter().filter(|holder| holder.ledger).count();
-    if let Some(newcomer) = newcomer.filter(|_| ledgers < LEDGER_SEATS) {
+    if let Some(newcomer) = newcomer.filter(|_| ledgers < board.options.core.ledger_seats) {
         let why = format!("ledger {} is new", newcomer.node);
         return Some((with(newcomer), why));
     }
@@ -339,7 +343,11 @@
         let why = format!("witness {} crowds {}", crowded.node, crowded.area);
         return Some((without(crowded.node), why));
     }
-    if seats.holders.len() < SEATS {
+    let core = &board.options.core;
+    if seats.holders.len() < core.ledger_seats + core.witness_seats {
+        if core.witness_seats == 0 {
+            return None;
+        }
         let witness = waiting_witness(board, seats)?;
         let why = format!("witness {} in {}", witness.node, witness.area);
         return Some((with(witness), why));
@@ -422,6 +430,12 @@
         })
 }
 
+/// Where the keeper is heard, as far as the cohort tells.
+pub fn keeper_address(board: &Blackboard) -> Option<SocketAddr> {
+    let holder = board.book(BookName::Cohort).duty(TENURE)?.holder;
+    Some(board.seats()?.holder(holder)?.address)
+}
+
 /// Answers a beat: only the keeper renews holds, and only while it is sure that it is.
 pub fn answer_beat(board: &mut Blackboard, beat: &Beat) -> BeatAnswer {
     let term = board.book(BookName::Cohort).duty(TENURE).cloned();
@@ -433,9 +447,14 @@
         || !board.is_current(BookName::Cohort)
         || !board.is_current(BookName::Tenure)
     {
-        return BeatAnswer::default();
+        return BeatAnswer {
+            keeper: keeper_address(board),
+            ..BeatAnswer::default()
+        };
     }
     let now = board.now;
     let tenure = board.seat.book(BookName::Tenure);
-    board.keeper.beat(now, beat, tenure)
+    let mut answer = board.keeper.beat(now, beat, tenure);
+    answer.keeper = Some(board.options.control);
+    answer
 }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod agents;
 pub mod blackboard;
 pub mod council;
+pub mod daemon;
 pub mod duties;
 pub mod machine;
 pub mod orders;
--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine.rs
@@ -28,6 +28,15 @@
         beat: Beat,
         echo: Option<Echo>,
     },
+    /// An instance says that this life of it is over.
+    Gone {
+        ticket: u64,
+        id: InstanceId,
+    },
+    /// The seeds that the settings name now.
+    Seeds {
+        seeds: Vec<SocketAddr>,
+    },
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -212,6 +221,8 @@
                 liveness: Liveness::default(),
                 next_round_at: Duration::ZERO,
                 instances: Instances::default(),
+                beats: Vec::new(),
+                next_beat: 0,
                 members: Members::default(),
                 shared_instances: 0,
                 shared_members: 0,
@@ -232,6 +243,7 @@
                 outputs: Vec::new(),
             },
         };
+        machine.board.instances.span = machine.board.options.core.instance_span;
         for event in events {
             machine.board.note(event);
         }
@@ -266,17 +278,12 @@
                 board.stopping_since.get_or_insert(now);
             }
             LedgerInput::Operator { ticket, call } => operator(board, ticket, call),
-            LedgerInput::Beat { ticket, beat, echo } => {
-                let lain = echo.and_then(|echo| echo.lain(now, board.node));
-                let age = Duration::ZERO;
-                let answer = DatedAnswer {
-                    answer: hear_beat(board, HeardBeat { beat, age }, lain),
-                    stamp: board.post.stamp(now),
-                    again: lain.is_none(),
-                };
-                let answer = OperatorAnswer::Beat { answer };
-                board.outputs.push(LedgerOutput::Answer { ticket, answer });
+            LedgerInput::Beat { ticket, beat, echo } => hear_instance(board, ticket, beat, echo),
+            LedgerInput::Gone { ticket, id } => {
+                board.instances.end(now, &id);
+                answer_instance(board, ticket, BeatAnswer::default(), false);
             }
+            LedgerInput::Seeds { seeds } => board.options.seeds = seeds,
         }
         agents::answer_awaiting(board);
         answer_watchers(board);
@@ -297,6 +304,7 @@
     for node in board.members.expire(board.now) {
         board.note(Event::MemberGone { node });
     }
+    answer_late_beats(board);
     share_facts(board);
     duties::tick_duties(board);
     council::tick_proposers(board);
@@ -332,27 +340,93 @@
     }
     board.share_at = board.now + SHARE_PERIOD;
     let instances = board.instances.after(board.now, board.shared_instances);
+    let gone = board
+        .instances
+        .ended_after(board.now, board.shared_instances);
     let members = board.members.after(board.now, board.shared_members);
     board.shared_instances = board.instances.learned();
     board.shared_members = board.members.learned();
-    if instances.is_empty() && members.is_empty() {
+    if instances.is_empty() && members.is_empty() && gone.is_empty() {
         return;
     }
     for to in board.other_ledgers() {
         let message = Message::Facts {
             instances: instances.clone(),
             members: members.clone(),
+            gone: gone.clone(),
         };
         board.send(to, message);
     }
 }
 
+/// How long a beat waits for the keeper's answer.
+const BEAT_PATIENCE: Duration = Duration::from_millis(500);
+
+/// Takes a beat in that an instance sent here, and sees to its answer.
+fn hear_instance(board: &mut Blackboard, ticket: u64, beat: Beat, echo: Option<Echo>) {
+    let now = board.now;
+    let lain = match board.options.core.stamped_beats {
+        true => echo.and_then(|echo| echo.lain(now, board.node)),
+        // Why as if it had just left: nothing dates it, and its counter keeps it in its place.
+        false => Some(Duration::ZERO),
+    };
+    let heard = HeardBeat {
+        beat,
+        age: Duration::ZERO,
+    };
+    let answer = hear_beat(board, heard.clone(), lain);
+    let keyed = board
+        .book(BookName::Standing)
+        .pools()
+        .any(|(name, pool)| pool.keyed && name == heard.beat.pool);
+    let keeper = answer.keeper.filter(|keeper| {
+        keyed && !answer.by_keeper && lain.is_some() && *keeper != board.options.control
+    });
+    // Why passed on: only the keeper renews holds, and the instance need not know who that is.
+    if let Some(to) = keeper.filter(|_| !board.options.core.stamped_beats) {
+        board.next_beat += 1;
+        board.beats.push(WaitingBeat {
+            ticket,
+            number: board.next_beat,
+            until: now + BEAT_PATIENCE,
+        });
+        let ticket = board.next_beat;
+        board.send(to, Message::BeatNote { ticket, heard });
+        return;
+    }
+    answer_instance(board, ticket, answer, lain.is_none());
+}
+
+fn answer_instance(board: &mut Blackboard, ticket: u64, answer: BeatAnswer, again: bool) {
+    let answer = OperatorAnswer::Beat {
+        answer: DatedAnswer {
+            answer,
+            stamp: board.post.stamp(board.now),
+            again,
+        },
+    };
+    board.outputs.push(LedgerOutput::Answer { ticket, answer });
+}
+
+/// Answers the beats whose keeper was silent: they were heard, only no hold is renewed.
+fn answer_late_beats(board: &mut Blackboard) {
+    let now = board.now;
+    let (over, waiting): (Vec<WaitingBeat>, Vec<WaitingBeat>) = std::mem::take(&mut board.beats)
+        .into_iter()
+        .partition(|beat| now >= beat.until);
+    board.beats = waiting;
+    for beat in over {
+        answer_instance(board, beat.ticket, BeatAnswer::default(), false);
+    }
+}
+
 /// Takes a beat in and answers it.
 ///
 /// Why nothing of one whose age cannot be told: it may be of an instance that is long gone.
 fn hear_beat(board: &mut Blackboard, heard: HeardBeat, lain: Option<Duration>) -> BeatAnswer {
     let heard = lain.map(|lain| heard.aged(lain));
-    let young = heard.filter(|heard| heard.age < INSTANCE_SPAN);
+    let span = board.instances.span;
+    let young = heard.filter(|heard| heard.age < span);
     let Some(heard) = young else {
         return BeatAnswer::default();
     };
@@ -392,7 +466,11 @@
         }
         Message::FoundAsk { founding } => council::hear_found_ask(board, reply_to, founding),
         Message::FoundTook { attempt } => council::hear_found_took(board, from, attempt),
-        Message::Facts { instances, members } => {
+        Message::Facts {
+            instances,
+            members,
+            gone,
+        } => {
             // Why nothing when its age cannot be told: every fact is soon told again.
             let Some(lain) = lain else {
                 return;
@@ -400,6 +478,9 @@
             for heard in instances {
                 board.instances.hear(board.now, &heard.aged(lain));
             }
+            for id in gone {
+                board.instances.end(board.now, &id);
+            }
             for heard in members {
                 board.members.hear(board.now, &heard.aged(lain));
             }
@@ -409,9 +490,15 @@
             let answer = hear_beat(board, heard, lain);
             board.send(reply_to, Message::BeatReply { ticket, answer });
         }
+        Message::BeatReply { ticket, answer } => {
+            let place = board.beats.iter().position(|beat| beat.number == ticket);
+            if let Some(place) = place {
+                let waiting = board.beats.swap_remove(place);
+                answer_instance(board, waiting.ticket, answer, false);
+            }
+        }
         // Why nothing: these are for followers, and a ledger is none.
         Message::Grant { .. }
-        | Message::BeatReply { .. }
         | Message::Pull { .. }
         | Message::View { .. }
         | Message::IslandAsk { .. }
@@ -472,6 +559,7 @@
         editions,
         instances: board.instances.after(now, instances_after),
         instances_place: board.instances.learned(),
+        gone: board.instances.ended_after(now, instances_after),
         members: board.members.after(now, members_after),
         members_place: board.members.learned(),
         news,
--- a/crates/ledger/src/orders.rs
+++ b/crates/ledger/src/orders.rs
@@ -71,6 +71,40 @@
         number
     }
 
+    /// A number with fractions, in thousandths.
+    pub fn thousandths(
+        &mut self,
+        name: &'static str,
+        otherwise: u32,
+        faults: &mut Vec<Fault>,
+    ) -> u32 {
+        let Some(value) = self.get(name) else {
+            return otherwise * 1000;
+        };
+        match value.as_f64().map(|number| (number * 1000.0).round()) {
+            Some(number) if (0.0..=4_000_000_000.0).contains(&number) => number as u32,
+            _ => {
+                faults.push(Fault::new(self.field(name), "must be a number from 0 up"));
+                otherwise * 1000
+            }
+        }
+    }
+
+    /// A list of texts.
+    pub fn texts(&mut self, name: &'static str, faults: &mut Vec<Fault>) -> Vec<String> {
+        let mut texts = Vec::new();
+        for (place, item) in self.list(name, faults).iter().enumerate() {
+            match item.as_str() {
+                Some(text) => texts.push(text.to_string()),
+                None => {
+                    let field = format!("{}[{place}]", self.field(name));
+                    faults.push(Fault::new(field, "must be a string"));
+                }
+            }
+        }
+        texts
+    }
+
     pub fn small(&mut self, name: &'static str, otherwise: u32, faults: &mut Vec<Fault>) -> u32 {
         match self.number(name, faults).map(u32::try_from) {
             Some(Ok(number)) => number,
@@ -112,13 +146,57 @@
     }
 }
 
+/// Reads the pools that a rule's requests are split over, by weight.
+fn read_split(path: &str, reader: &mut Reader<'_>, faults: &mut Vec<Fault>) -> Vec<SplitPart> {
+    let mut split = Vec::new();
+    for (place, item) in reader.list("split", faults).iter().enumerate() {
+        let part_path = format!("{path}.split[{place}]");
+        if let Some(mut part) = Reader::new(part_path, item, faults) {
+            split.push(SplitPart {
+                pool: PoolName::new(part.needed_text("pool", faults)),
+                weight: part.small("weight", 0, faults),
+            });
+            part.finish(faults);
+        }
+    }
+    split
+}
+
+/// Reads what of a rule's requests may be repeated.
+fn read_kind(path: &str, reader: &mut Reader<'_>, faults: &mut Vec<Fault>) -> RequestKind {
+    match reader.text("kind", faults).as_deref() {
+        None => RequestKind::ByMethod,
+        Some("repeatable") => RequestKind::Repeatable,
+        Some("once") => RequestKind::Once,
+        Some("upload") => RequestKind::Upload,
+        Some(_) => {
+            let why = "must be repeatable, once or upload";
+            faults.push(Fault::new(format!("{path}.kind"), why));
+            RequestKind::ByMethod
+        }
+    }
+}
+
 fn read_rule(path: &str, value: &JsonValue, faults: &mut Vec<Fault>) -> Option<Value> {
     let mut reader = Reader::new(path, value, faults)?;
+    let split = read_split(path, &mut reader, faults);
     let rule = Rule {
         host: reader.needed_text("host", faults),
         path: reader.needed_text("path", faults),
-        pool: PoolName::new(reader.needed_text("pool", faults)),
-        home: reader.text("home", faults).map(Region::new),
+        // Why not needed beside a split: the parts name the pools then.
+        pool: match split.first() {
+            Some(part) => PoolName::new(
+                reader
+                    .text("pool", faults)
+                    .unwrap_or_else(|| part.pool.to_string()),
+            ),
+            None => PoolName::new(reader.needed_text("pool", faults)),
+        },
+        homes: {
+            let home = reader.text("home", faults);
+            let homes = reader.texts("homes", faults);
+            home.into_iter().chain(homes).map(Region::new).collect()
+        },
         deadline: Duration::from_millis(reader.number("deadline_ms", faults).unwrap_or(2000)),
         body_limit: reader
             .number("body_limit", faults)
@@ -126,6 +204,13 @@
         key_header: reader
             .text("key_header", faults)
             .map(|name| name.to_ascii_lowercase()),
+        kind: read_kind(path, &mut reader, faults),
+        split,
+        target_latency: Duration::from_millis(
+            reader.number("target_latency_ms", faults).unwrap_or(0),
+        ),
+        priority: reader.small("priority", 0, faults),
+        most_attempts: reader.small("most_attempts", 0, faults),
     };
     reader.finish(faults);
     Some(Value::Rule { rule })
@@ -138,8 +223,19 @@
         slices: reader.small("slices", 64, faults),
         instance_cap: reader.small("instance_cap", 64, faults),
         key_cap: reader.small("key_cap", 8, faults),
-        gentle_per_second: reader.small("gentle_per_second", 6, faults),
+        cold_rate_milli: reader.thousandths("gentle_per_second", 6, faults),
         warm_span: Duration::from_millis(reader.number("warm_ms", faults).unwrap_or(5000)),
+        key_space: match reader.text("key_space", faults).as_deref() {
+            None | Some("hashed") => KeySpace::Hashed,
+            Some("ranges") => KeySpace::Ranges,
+            Some(_) => {
+                let why = "must be hashed or ranges";
+                faults.push(Fault::new(format!("{path}.key_space"), why));
+                KeySpace::Hashed
+            }
+        },
+        connection_limit: reader.small("connection_limit", 0, faults),
+        health_path: reader.text("health_path", faults).unwrap_or_default(),
     };
     reader.finish(faults);
     Some(Value::Pool { pool })
@@ -191,6 +287,7 @@
         key: format!("{kind}/{name}"),
         expected,
         value,
+        written: None,
     })
 }
 
@@ -269,6 +366,36 @@
     }
 }
 
+/// Writes what a rule says beyond where its requests go, as far as it says anything.
+fn write_terms(rule: &Rule, json: &mut JsonValue) {
+    let kind = match rule.kind {
+        RequestKind::ByMethod => None,
+        RequestKind::Repeatable => Some("repeatable"),
+        RequestKind::Once => Some("once"),
+        RequestKind::Upload => Some("upload"),
+    };
+    if let Some(kind) = kind {
+        json["kind"] = kind.into();
+    }
+    if !rule.split.is_empty() {
+        let parts: Vec<JsonValue> = rule
+            .split
+            .iter()
+            .map(|part| jzon::object! { pool: part.pool.as_str(), weight: part.weight })
+            .collect();
+        json["split"] = parts.into();
+    }
+    if !rule.target_latency.is_zero() {
+        json["target_latency_ms"] = (rule.target_latency.as_millis() as u64).into();
+    }
+    if rule.priority > 0 {
+        json["priority"] = rule.priority.into();
+    }
+    if rule.most_attempts > 0 {
+        json["most_attempts"] = rule.most_attempts.into();
+    }
+}
+
 /// Writes one value of the standing book as the operators write it.
 pub fn value_json(value: &Value) -> JsonValue {
     match value {
@@ -280,9 +407,15 @@
                 deadline_ms: rule.deadline.as_millis() as u64,
                 body_limit: rule.body_limit,
             };
-            if let Some(home) = &rule.home {
-                json["home"] = home.as_str().into();
+            match rule.homes.as_slice() {
+                [] => {}
+                [home] => json["home"] = home.as_str().into(),
+                homes => {
+                    let homes: Vec<&str> = homes.iter().map(Region::as_str).collect();
+                    json["homes"] = homes.into();
+                }
             }
+            write_terms(rule, &mut json);
             if let Some(header) = &rule.key_header {
                 json["key_header"] = header.as_str().into();
             }
@@ -293,8 +426,14 @@
             slices: pool.slices,
             instance_cap: pool.instance_cap,
             key_cap: pool.key_cap,
-            gentle_per_second: pool.gentle_per_second,
+            gentle_per_second: pool.cold_rate(),
             warm_ms: pool.warm_span.as_millis() as u64,
+            key_space: match pool.key_space {
+                KeySpace::Hashed => "hashed",
+                KeySpace::Ranges => "ranges",
+            },
+            connection_limit: pool.connection_limit,
+            health_path: pool.health_path.as_str(),
         },
         Value::Area { area } => jzon::object! {
             region: area.region.as_str(),
--- a/crates/ledger/src/prelude.rs
+++ b/crates/ledger/src/prelude.rs
@@ -7,6 +7,7 @@
 pub use crate::agents;
 pub use crate::blackboard::*;
 pub use crate::council;
+pub use crate::daemon::{own_interface, CoreDesk, Interface};
 pub use crate::duties;
 pub use crate::machine::*;
 pub use crate::orders::*;
--- a/crates/mentor/src/machine.rs
+++ b/crates/mentor/src/machine.rs
@@ -20,6 +20,10 @@
     pub control: SocketAddr,
     pub area: Area,
     pub seeds: Vec<SocketAddr>,
+    /// The proxy goes on with what it last knew when the core is out of reach.
+    pub proxy_serves_on: bool,
+    /// An instance that has not beaten for so long is gone.
+    pub instance_span: Duration,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -30,6 +34,10 @@
     },
     /// The platform asks for a stop.
     Stop,
+    /// The seeds that the settings name now.
+    Seeds {
+        seeds: Vec<SocketAddr>,
+    },
     /// An operator asks what was carried.
     Usage {
         ticket: u64,
@@ -113,7 +121,8 @@
     pub fn start(options: MentorOptions, seed: u64) -> Self {
         let mut chance = Chance::seeded(seed);
         let node = NodeId(chance.draw() >> 1);
-        let link = CoreLink::new(node, &FOLLOWED, options.seeds.clone(), chance.draw());
+        let mut link = CoreLink::new(node, &FOLLOWED, options.seeds.clone(), chance.draw());
+        link.instances.span = options.instance_span;
         let islander = Islander::new(options.control);
         Self {
             options,
@@ -190,6 +199,7 @@
                 self.stopping_since.get_or_insert(now);
                 self.link.renew_now(now);
             }
+            MentorInput::Seeds { seeds } => self.link.seeds = seeds,
             MentorInput::Usage { ticket } => {
                 let lines = self.usage();
                 outputs.push(MentorOutput::AnswerUsage { ticket, lines });
@@ -234,7 +244,11 @@
         }
         self.ask_agents(now, outputs);
         self.link.members.expire(now);
-        for id in self.link.instances.expire(now) {
+        let gone = match self.options.proxy_serves_on {
+            true => self.link.expire_instances(now),
+            false => self.link.instances.expire(now),
+        };
+        for id in gone {
             let event = MentorEvent::InstanceGone { id };
             outputs.push(MentorOutput::Note { event });
         }
--- a/crates/mentor/src/main.rs
+++ b/crates/mentor/src/main.rs
@@ -1,159 +1,18 @@
 //! `mentor`: the agent beside a proxy.
 
-use mentor::prelude::*;
 use toolroom::prelude::*;
 
 const HELP: &str = "The agent beside each proxy: holds the link to the core, hears instances' \
 beats over HTTP, and feeds the proxy over loopback";
+const NEEDS: [&str; 4] = ["control", "serving", "area", "seeds"];
 
-struct Worker {
-    machine: MentorMachine,
-    port: ControlPort,
-    tickets: Arc<Tickets<Option<DatedAnswer>>>,
-    usage: Arc<Tickets<Vec<UsageLine>>>,
-    ready_until: Arc<ReadyUntil>,
-    stopped: Arc<Notify>,
-}
-
-impl Host for Worker {
-    type Input = MentorInput;
-
-    fn tick() -> MentorInput {
-        MentorInput::Tick
-    }
-
-    fn take(&mut self, now: Duration, input: MentorInput) {
-        for output in self.machine.input(now, input) {
-            match output {
-                MentorOutput::Send { to, message } => {
-                    self.port.forward(to, &self.machine.seal(now, to, message));
-                }
-                MentorOutput::AnswerBeat { ticket, answer } => self.tickets.answer(ticket, answer),
-                MentorOutput::Note { event: what } => match what {
-                    MentorEvent::Fresh => event(FRESH, ""),
-                    MentorEvent::Stale => event(STALE, ""),
-                    MentorEvent::OnIsland => event(ON_ISLAND, ""),
-                    MentorEvent::OffIsland => event(OFF_ISLAND, ""),
-                    MentorEvent::BookMoved { book, edition } => {
-                        event(BOOK_MOVED, format!("{book} at {edition}"));
-                    }
-                    MentorEvent::InstanceGone { id } => event(INSTANCE_GONE, id),
-                },
-                MentorOutput::AnswerUsage { ticket, lines } => self.usage.answer(ticket, lines),
-                MentorOutput::Stopped => self.stopped.notify_one(),
-            }
-        }
-        self.ready_until.set(self.machine.fresh_until());
-    }
-}
-
-async fn answer(
-    inbox: Inbox<MentorInput>,
-    tickets: Arc<Tickets<Option<DatedAnswer>>>,
-    usage: Arc<Tickets<Vec<UsageLine>>>,
-    area: Area,
-    ready: bool,
-    order: Request<Incoming>,
-) -> Response<Body> {
-    match (order.method(), order.uri().path()) {
-        (&Method::GET, "/ready") => ready_answer(ready),
-        (&Method::GET, "/usage") => {
-            let (ticket, lines) = usage.draw();
-            inbox.give(MentorInput::Usage { ticket });
-            match lines.await {
-                Ok(lines) => json_answer(200, &usage_json(&area, &lines)),
-                Err(_) => json_answer(503, &jzon::object! { why: "this agent is about to stop" }),
-            }
-        }
-        (&Method::POST, "/beats") => {
-            let beat = match small_body(order.into_body(), 64 * 1024).await {
-                Ok(body) => beats::read_dated(&String::from_utf8_lossy(&body)),
-                Err(_) => Err("the body is too large or broke off".to_string()),
-            };
-            let (beat, echo) = match beat {
-                Ok(dated) => dated,
-                Err(why) => return json_answer(400, &jzon::object! { why: why }),
-            };
-            let (ticket, answer) = tickets.draw();
-            if !inbox.give(MentorInput::Beat { ticket, beat, echo }) {
-                tickets.forget(ticket);
-                return json_answer(503, &jzon::object! { why: "this agent has too much to do" });
-            }
-            match answer.await {
-                Ok(Some(answer)) => json_answer(200, &beats::write_dated(&answer)),
-                _ => json_answer(503, &jzon::object! { why: "no ledger heard the beat" }),
-            }
-        }
-        _ => json_answer(404, &jzon::object! { why: "there is no such resource" }),
-    }
-}
-
-#[tokio::main(worker_threads = 2)]
-async fn main() -> anyhow::Result<()> {
+fn main() -> anyhow::Result<()> {
     let flags = read_flags(&place_flags().to_options().descr(HELP));
-    let place = Place::read_or_end(&flags, &["control", "serving", "area", "seeds"]);
+    let place = Place::read_or_end(&flags, &NEEDS);
     start_log()?;
-    let clock = Clock::start();
-    let options = MentorOptions {
-        control: place.advertise,
-        area: place.area.clone(),
-        seeds: place.seeds.clone(),
-    };
-    let machine = MentorMachine::start(options, fresh_seed());
-    let (inbox, receiver) = Inbox::open();
-    let heard = inbox.clone();
-    let port = ControlPort::open(
-        machine.node(),
-        place.control,
-        place.advertise,
-        move |envelope| {
-            heard.give(MentorInput::Heard { envelope });
-        },
+    let reread: Reread = Arc::new(move || Place::read(&flags, &NEEDS).ok());
+    run_daemon(
+        place.terms.workers,
+        mentor::daemon::run(place, reread, true),
     )
-    .await?;
-    event(
-        STARTED,
-        format!(
-            "mentor {} control {} area {}",
-            machine.node(),
-            place.control,
-            place.area
-        ),
-    );
-    let tickets = Arc::new(Tickets::default());
-    let usage = Arc::new(Tickets::default());
-    let ready_until = Arc::new(ReadyUntil::default());
-    let stopped = Arc::new(Notify::new());
-    let stopping = Arc::new(AtomicBool::new(false));
-    let asked = inbox.clone();
-    let worker = Worker {
-        machine,
-        port,
-        tickets: tickets.clone(),
-        usage: usage.clone(),
-        ready_until: ready_until.clone(),
-        stopped: stopped.clone(),
-    };
-    open_desk(worker, clock, receiver, Duration::from_millis(25));
-    let listener = listen(place.serving).await?;
-    let stop = Arc::new(AtomicBool::new(false));
-    let leaving = stopping.clone();
-    tokio::spawn(serve_http(listener, stop, move |_, order| {
-        let ready = ready_until.is_ready(clock.now()) && !leaving.load(Ordering::SeqCst);
-        let answering = answer(
-            inbox.clone(),
-            tickets.clone(),
-            usage.clone(),
-            place.area.clone(),
-            ready,
-            order,
-        );
-        async move { Ok(answering.await) }
-    }));
-    asked_to_stop().await;
-    event(STOPPING, "");
-    stopping.store(true, Ordering::SeqCst);
-    stop_politely(&asked, MentorInput::Stop, &stopped).await;
-    event(STOPPED, "");
-    Ok(())
 }
--- a/crates/playout/src/carrier.rs
+++ b/crates/playout/src/carrier.rs
@@ -5,6 +5,8 @@
 /// Bodies and answers up to this size are held whole, so that a shot can be repeated and a
 /// truncated answer never reaches the caller.
 const SMALL: u64 = 64 * 1024;
+/// Requests' bodies up to this size are held whole.
+const SMALL_BODY: u64 = 512 * 1024;
 const METER_SHARDS: usize = 8;
 /// How long the demand meter looks back.
 const METER_SPAN: Duration = Duration::from_secs(4);
@@ -18,6 +20,7 @@
 
 pub struct Carrier {
     pub clock: Clock,
+    pub dialect: Dialect,
     pub area: Area,
     pub serving: SocketAddr,
     pub capacity: u32,
@@ -54,9 +57,14 @@
 }
 
 impl Carrier {
-    pub fn new(clock: Clock, place: &Place) -> Self {
+    pub fn new(clock: Clock, place: &Place, dialect: Dialect) -> Self {
+        let knowledge = ProxyKnowledge {
+            policy: place.terms.proxy,
+            ..ProxyKnowledge::default()
+        };
         Self {
             clock,
+            dialect,
             area: place.area.clone(),
             serving: place.serving,
             capacity: place.capacity,
@@ -67,7 +75,7 @@
             usage: UsageBook::default(),
             orders: AtomicU64::new(0),
             seed: fresh_seed(),
-            knowledge: RwLock::default(),
+            knowledge: RwLock::new(Arc::new(knowledge)),
             shards: RwLock::default(),
             meter: Default::default(),
         }
@@ -122,8 +130,8 @@
     pub fn is_ready(&self) -> bool {
         let knowledge = self.knowledge();
         !self.stopping.load(Ordering::SeqCst)
-            && self.clock.now() < knowledge.fresh_until
-            && !knowledge.closed.contains(&self.area)
+            && knowledge.is_usable(self.clock.now())
+            && (knowledge.policy.closed_zone_carries || !knowledge.closed.contains(&self.area))
     }
 
     fn measure(&self, now: Duration, far_end: &FarEnd, rule: &RuleName) {
@@ -181,7 +189,7 @@
         far_end: FarEnd,
         order: Request<Incoming>,
     ) -> Result<Response<Body>, std::io::Error> {
-        if order.uri().path() == "/caperworks/ready" {
+        if order.uri().path() == self.dialect.ready_path {
             return Ok(ready_answer(self.is_ready()));
         }
         let under_way = UnderWay::begin(&self);
@@ -202,7 +210,7 @@
                     Told::NotRun => CountedEnd::NotRun,
                     Told::Unknown => CountedEnd::Unknown,
                 };
-                (mishap_answer(mishap, told), end)
+                (self.mishap_answer(mishap, told), end)
             }
         };
         if let Some(key) = counted {
@@ -233,13 +241,21 @@
         let now = self.clock.now();
         let path = head.uri.path();
         let (name, rule) = knowledge.find(now, &host, path)?;
-        let rule = Arc::new(rule);
         chart.matched(now, &rule);
-        let usage_key = UsageKey::of(&name, &rule.pool);
+        if self.dialect.callers_tell_deadline {
+            let told = header_text(&head.headers, self.dialect.deadline.as_str());
+            if let Some(millis) = told.and_then(|told| told.parse().ok()) {
+                chart.caller_waits(now + Duration::from_millis(millis));
+            }
+        }
+        let pool = rule.pool_for(fresh_seed()).clone();
+        let usage_key = UsageKey::of(&name, &pool);
         *counted = Some(usage_key.clone());
         self.measure(now, &far_end, &name);
         knowledge.admits(now, &self.area, &rule)?;
-        let key = match &rule.key_header {
+        // Why only for keyed pools: of a split rule's requests some may go where keys mean nothing.
+        let keyed = knowledge.pool(&pool).is_some_and(|pool| pool.keyed);
+        let key = match rule.key_header.as_ref().filter(|_| keyed) {
             None => None,
             Some(header) => {
                 let mut values = head.headers.get_all(header.as_str()).iter();
@@ -257,8 +273,12 @@
         chart.admitted(matches!(body, OrderBody::Held(_)));
         drop(knowledge);
         let number = self.orders.fetch_add(1, Ordering::Relaxed);
-        let order_id = format!("{:x}-{number:x}", mix(self.seed));
-        let shard = self.shard(&rule.pool);
+        let named = header_text(&head.headers, self.dialect.request_id.as_str());
+        let order_id = match named.filter(|_| self.dialect.callers_name_requests) {
+            Some(named) => named.to_string(),
+            None => format!("{:x}-{number:x}", mix(self.seed)),
+        };
+        let shard = self.shard(&pool);
         let mut tried: Vec<InstanceId> = Vec::new();
         let mut under_way = Some(under_way);
         loop {
@@ -270,15 +290,22 @@
             knowledge.admits(now, &self.area, &rule)?;
             let target = {
                 let mut shard = locked(&shard);
-                let target =
-                    shard.choose(now, &knowledge, &self.area, &rule, key.as_deref(), &tried)?;
+                let target = shard.choose_in(
+                    now,
+                    &knowledge,
+                    &self.area,
+                    &rule,
+                    &pool,
+                    key.as_deref(),
+                    &tried,
+                )?;
                 shard.begin(now, &target);
                 target
             };
             chart.chosen();
             let guard = ShotGuard {
                 proxy: self.clone(),
-                pool: rule.pool.clone(),
+                pool: pool.clone(),
                 target: target.clone(),
                 good: false,
                 load: None,
@@ -290,6 +317,7 @@
                 far_end: &far_end,
                 rule: &rule,
                 order_id: &order_id,
+                dialect: &self.dialect,
             };
             let shot = self
                 .shoot(order, guard, &mut body, chart, &mut under_way)
@@ -306,12 +334,7 @@
             if over.load(Ordering::SeqCst) {
                 // Why unknown: bytes have left, though the instance cannot have had all of them.
                 chart.refuse(Mishap::LostAfterSending);
-                return Ok(told_answer(
-                    413,
-                    "unknown",
-                    Mishap::BodyTooLarge.word(),
-                    None,
-                ));
+                return Ok(self.told_answer(413, "unknown", Mishap::BodyTooLarge.word(), None));
             }
             if target.is_used_up(end) {
                 tried.push(target.instance);
@@ -336,7 +359,7 @@
     ) -> Result<OrderBody, Mishap> {
         match body.size_hint().exact() {
             Some(length) if length > rule.body_limit => Err(Mishap::BodyTooLarge),
-            Some(length) if length <= SMALL => {
+            Some(length) if length <= SMALL_BODY => {
                 let left = chart.deadline().saturating_sub(self.clock.now());
                 match tokio::time::timeout(left, body.collect()).await {
                     Ok(Ok(collected)) => {
@@ -373,6 +396,12 @@
         let key = (target.instance.clone(), target.incarnation, target.address);
         let patience = chart.deadline().saturating_sub(self.clock.now());
         let Some(mut circuit) = self.circuits.open(&key, patience, chart.is_read()).await else {
+            let now = self.clock.now();
+            let knowledge = self.knowledge();
+            if let Some(beat) = knowledge.instances.get(&target.instance) {
+                let shard = self.shard(&target.pool);
+                locked(&shard).not_opened(now, &target, beat.counter);
+            }
             return ShotAnswer::Ended(ShotEnd::NotOpened);
         };
         let sending = match body {
@@ -404,7 +433,7 @@
         chart.sent();
         if chart.shots() == 1 {
             // Why only now: orders that were refused without a shot must not make room for retries.
-            locked(&self.shard(&outgoing.rule.pool)).first_shot(now);
+            locked(&self.shard(&target.pool)).first_shot(now);
         }
         let sent = tokio::time::timeout(left, circuit.sender.try_send_request(request)).await;
         let answer = match sent {
@@ -415,16 +444,35 @@
                 return self.lost_shot(failed, passage, circuit.reused, body, &mut guard);
             }
         };
-        guard.load = header_text(answer.headers(), LOAD_HEADER).and_then(|load| load.parse().ok());
-        let told = header_text(answer.headers(), OUTCOME_HEADER);
-        if answer.status() == StatusCode::MISDIRECTED_REQUEST || told == Some("not-run") {
+        let dialect = &self.dialect;
+        // Why before anything else: an answer to another request says nothing of this one.
+        let echoed = header_text(answer.headers(), dialect.request_id.as_str());
+        let refused = (dialect.told_not_run)(answer.status(), answer.headers());
+        let another = match echoed {
+            Some(echoed) => echoed != outgoing.order_id,
+            // Why not of a refusal: whoever has another's address may know nothing of requests' names.
+            None => dialect.callers_name_requests && !refused,
+        };
+        if another {
+            return ShotAnswer::Ended(ShotEnd::Garbage);
+        }
+        guard.load = (dialect.load)(answer.headers());
+        if refused {
             guard.good = true;
-            let life = header_text(answer.headers(), INCARNATION_HEADER);
-            guard.over = life.is_some_and(|life| life != target.incarnation.to_string());
+            let incarnation = dialect.incarnation.as_ref();
+            let life = incarnation.and_then(|name| header_text(answer.headers(), name.as_str()));
+            let told = dialect.instance_told.as_ref();
+            let told = told.and_then(|name| header_text(answer.headers(), name.as_str()));
+            guard.over = life.is_some_and(|life| life != target.incarnation.to_string())
+                || told.is_some_and(|told| told != target.instance.as_str());
             return ShotAnswer::Ended(ShotEnd::RefusedByInstance);
         }
-        let echoed = header_text(answer.headers(), ORDER_HEADER);
-        if echoed.is_some_and(|echoed| echoed != outgoing.order_id) || !well_framed(&answer) {
+        let unsealed = answer.status().is_success()
+            && dialect
+                .seal
+                .as_ref()
+                .is_some_and(|seal| !answer.headers().contains_key(seal));
+        if unsealed || !well_framed(&answer) {
             return ShotAnswer::Ended(ShotEnd::Garbage);
         }
         self.pass_on(answer, circuit, key, guard, chart, under_way)
@@ -498,7 +546,7 @@
     ) -> ShotAnswer {
         let (mut head, body) = answer.into_parts();
         strip_hop_by_hop(&mut head.headers);
-        strip_own(&mut head.headers);
+        strip_own(&mut head.headers, self.dialect.own_prefix);
         let left = chart.deadline().saturating_sub(self.clock.now());
         let small = body
             .size_hint()
@@ -537,6 +585,7 @@
     far_end: &'order FarEnd,
     rule: &'order Arc<Rule>,
     order_id: &'order str,
+    dialect: &'order Dialect,
 }
 
 impl Outgoing<'_> {
@@ -558,24 +607,33 @@
             .map_err(|_| Mishap::BadFraming)?;
         let mut headers = self.head.headers.clone();
         strip_hop_by_hop(&mut headers);
-        strip_own(&mut headers);
+        strip_own(&mut headers, self.dialect.own_prefix);
         headers.remove("expect");
         // Why removed: the framing towards the instance follows from the body, never from the
         // caller's word.
         headers.remove("content-length");
-        let mut set = |name: &'static str, text: String| -> Result<(), Mishap> {
+        let dialect = self.dialect;
+        let mut set = |name: &HeaderName, text: String| -> Result<(), Mishap> {
             let value = HeaderValue::from_str(&text).map_err(|_| Mishap::BadFraming)?;
-            headers.insert(name, value);
+            headers.insert(name.clone(), value);
             Ok(())
         };
-        set(INSTANCE_HEADER, target.instance.to_string())?;
-        set(INCARNATION_HEADER, target.incarnation.to_string())?;
-        set(ORDER_HEADER, self.order_id.to_string())?;
-        set(DEADLINE_HEADER, left.as_millis().to_string())?;
-        set("x-forwarded-for", self.far_end.address.ip().to_string())?;
+        set(&dialect.instance, target.instance.to_string())?;
+        if let Some(name) = &dialect.incarnation {
+            set(name, target.incarnation.to_string())?;
+        }
+        set(&dialect.request_id, self.order_id.to_string())?;
+        set(&dialect.deadline, left.as_millis().to_string())?;
+        if let Some(name) = &dialect.forwarded_for {
+            set(name, self.far_end.address.ip().to_string())?;
+        }
         if let Some((slice, epoch)) = target.slice {
-            set(SLICE_HEADER, slice.to_string())?;
-            set(EPOCH_HEADER, epoch.to_string())?;
+            if let Some(name) = &dialect.slice {
+                set(name, slice.to_string())?;
+            }
+            if let Some(name) = &dialect.epoch {
+                set(name, epoch.to_string())?;
+            }
         }
         *request.headers_mut() = headers;
         Ok(request)
@@ -643,10 +701,13 @@
 }
 
 /// Why both ways: a caller must not speak in our name to an instance, nor an instance to a caller.
-fn strip_own(headers: &mut HeaderMap) {
+fn strip_own(headers: &mut HeaderMap, own_prefix: Option<&str>) {
+    let Some(own_prefix) = own_prefix else {
+        return;
+    };
     let own: Vec<HeaderName> = headers
         .keys()
-        .filter(|name| name.as_str().starts_with("caperworks-"))
+        .filter(|name| name.as_str().starts_with(own_prefix))
         .cloned()
         .collect();
     for name in own {
@@ -654,27 +715,40 @@
     }
 }
 
-/// The final answer for an order that was refused or lost, given at once.
-fn mishap_answer(mishap: Mishap, told: Told) -> Response<Body> {
-    let told = match told {
-        Told::NotRun => "not-run",
-        Told::Unknown => "unknown",
-    };
-    told_answer(mishap.status(), told, mishap.word(), mishap.retry_after())
-}
+impl Carrier {
+    /// The final answer for an order that was refused or lost, given at once.
+    fn mishap_answer(&self, mishap: Mishap, told: Told) -> Response<Body> {
+        let told = match told {
+            Told::NotRun => "not-run",
+            Told::Unknown => "unknown",
+        };
+        self.told_answer(mishap.status(), told, mishap.word(), mishap.retry_after())
+    }
 
-fn told_answer(
-    status: u16,
-    told: &'static str,
-    why: &str,
-    retry_after: Option<Duration>,
-) -> Response<Body> {
-    let mut answer = json_answer(status, &jzon::object! { outcome: told, why: why });
-    let headers = answer.headers_mut();
-    headers.insert(OUTCOME_HEADER, HeaderValue::from_static(told));
-    headers.remove("retry-after");
-    if let Some(after) = retry_after {
-        headers.insert("retry-after", HeaderValue::from(after.as_secs()));
+    fn told_answer(
+        &self,
+        status: u16,
+        told: &'static str,
+        why: &str,
+        retry_after: Option<Duration>,
+    ) -> Response<Body> {
+        let mut answer = json_answer(status, &jzon::object! { outcome: told, why: why });
+        let headers = answer.headers_mut();
+        if let Some(name) = &self.dialect.outcome {
+            headers.insert(name.clone(), HeaderValue::from_static(told));
+        }
+        headers.remove("retry-after");
+        let Some(after) = retry_after else {
+            return answer;
+        };
+        let value = match self.dialect.fractions {
+            // Why so soon: callers there count in tenths, and what is short now is seldom so long.
+            true => HeaderValue::from_str(&format!("{}", after.as_secs_f64() / 5.0)).ok(),
+            false => Some(HeaderValue::from(after.as_secs())),
+        };
+        if let Some(value) = value {
+            headers.insert("retry-after", value);
+        }
+        answer
     }
-    answer
 }
--- /dev/null
+++ b/crates/playout/src/dialect.rs
@@ -0,0 +1,74 @@
+//! What a proxy and its neighbours call things on the wire: header names, and how answers are read.
+
+use crate::prelude::*;
+
+/// The names and forms that requests and answers carry. It decides nothing.
+#[derive(Clone)]
+pub struct Dialect {
+    /// Names a request, at callers if they name theirs, at instances always.
+    pub request_id: HeaderName,
+    /// Whether callers name their requests, and instances must name them back.
+    pub callers_name_requests: bool,
+    /// Milliseconds that the sender waits; at instances always.
+    pub deadline: HeaderName,
+    /// Whether callers tell how long they wait, under the same name.
+    pub callers_tell_deadline: bool,
+    /// The instance that a request is for.
+    pub instance: HeaderName,
+    /// By which an instance that is another than was meant tells who it is.
+    pub instance_told: Option<HeaderName>,
+    pub incarnation: Option<HeaderName>,
+    pub slice: Option<HeaderName>,
+    pub epoch: Option<HeaderName>,
+    /// Without it an instance's success is none.
+    pub seal: Option<HeaderName>,
+    /// Says in answers of ours whether the request ran.
+    pub outcome: Option<HeaderName>,
+    /// Names the caller's address to instances.
+    pub forwarded_for: Option<HeaderName>,
+    /// Headers that begin so are ours and pass in neither direction.
+    pub own_prefix: Option<&'static str>,
+    /// Whether `Retry-After` may have fractions of a second.
+    pub fractions: bool,
+    /// The path that tells readiness to whoever reaches the proxy.
+    pub ready_path: &'static str,
+    /// Whether an instance says that it ran nothing.
+    pub told_not_run: fn(StatusCode, &HeaderMap) -> bool,
+    /// The load that an instance tells with its answer.
+    pub load: fn(&HeaderMap) -> Option<u32>,
+}
+
+fn own_told_not_run(status: StatusCode, headers: &HeaderMap) -> bool {
+    let told = headers.get(OUTCOME_HEADER);
+    status == StatusCode::MISDIRECTED_REQUEST || told.is_some_and(|told| told == "not-run")
+}
+
+fn own_load(headers: &HeaderMap) -> Option<u32> {
+    headers.get(LOAD_HEADER)?.to_str().ok()?.parse().ok()
+}
+
+impl Dialect {
+    /// The product's own.
+    pub fn own() -> Self {
+        let name = HeaderName::from_static;
+        Self {
+            request_id: name(ORDER_HEADER),
+            callers_name_requests: false,
+            deadline: name(DEADLINE_HEADER),
+            callers_tell_deadline: false,
+            instance: name(INSTANCE_HEADER),
+            instance_told: None,
+            incarnation: Some(name(INCARNATION_HEADER)),
+            slice: Some(name(SLICE_HEADER)),
+            epoch: Some(name(EPOCH_HEADER)),
+            seal: None,
+            outcome: Some(name(OUTCOME_HEADER)),
+            forwarded_for: Some(name("x-forwarded-for")),
+            own_prefix: Some("caperworks-"),
+            fractions: false,
+            ready_path: "/caperworks/ready",
+            told_not_run: own_told_not_run,
+            load: own_load,
+        }
+    }
+}
--- /dev/null
+++ b/crates/playout/src/lib.rs
@@ -0,0 +1,10 @@
+//! The proxy: carries requests from callers to instances, as its agent tells it.
+
+pub mod carrier;
+pub mod daemon;
+pub mod dialect;
+pub mod gate;
+pub mod instance_circuits;
+pub mod passing;
+pub mod prelude;
+pub mod usage;
--- a/crates/playout/src/main.rs
+++ b/crates/playout/src/main.rs
@@ -1,116 +1,17 @@
 //! `playout`: the proxy.
 
-mod carrier;
-mod gate;
-mod instance_circuits;
-mod passing;
-mod prelude;
-mod usage;
-
-use crate::prelude::*;
+use playout::prelude::*;
 
 const HELP: &str = "The proxy: carries orders from callers to instances, as its agent tells it";
-const PULL_PERIOD: Duration = Duration::from_millis(150);
-/// How long orders are still taken after a stop was asked for: the directories' answers that name
-/// this proxy are good for two seconds.
-const LINGER: Duration = Duration::from_millis(2600);
-const MOST_WAIT: Duration = Duration::from_secs(10);
-
-/// Asks the agent again and again what the world is like.
-fn start_pulling(carrier: Arc<Carrier>, port: ControlPort, agent: SocketAddr, asked: Asked) {
-    tokio::spawn(async move {
-        let mut number = 0;
-        let life = fresh_seed();
-        let mut beat = tokio::time::interval(PULL_PERIOD);
-        beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut was_ready = false;
-        loop {
-            beat.tick().await;
-            number += 1;
-            let ready = carrier.is_ready();
-            if ready != was_ready {
-                was_ready = ready;
-                event(if ready { READY } else { NOT_READY }, "");
-            }
-            let knowledge = carrier.knowledge();
-            let pull = Pull {
-                number,
-                standing: knowledge.books.book(BookName::Standing).edition,
-                tenure: knowledge.books.book(BookName::Tenure).edition,
-                serving: carrier.serving,
-                // Why not the readiness itself: a stale proxy must be able to become fresh again,
-                // and the core judges staleness by the permit.
-                ready: !carrier.stopping.load(Ordering::SeqCst),
-                capacity: carrier.capacity,
-                demand: carrier.demand(),
-                life,
-                usage: carrier.usage.lines(),
-            };
-            {
-                let mut asked = locked(&asked);
-                asked.push_back((number, carrier.clock.now()));
-                if asked.len() > 16 {
-                    asked.pop_front();
-                }
-            }
-            port.send(agent, Message::Pull { pull });
-        }
-    });
-}
-
-type Asked = Arc<Mutex<VecDeque<(u64, Duration)>>>;
+const NEEDS: [&str; 4] = ["control", "serving", "area", "agent"];
 
-#[tokio::main(worker_threads = 2)]
-async fn main() -> anyhow::Result<()> {
+fn main() -> anyhow::Result<()> {
     let flags = read_flags(&place_flags().to_options().descr(HELP));
-    let place = Place::read_or_end(&flags, &["control", "serving", "area", "agent"]);
+    let place = Place::read_or_end(&flags, &NEEDS);
     start_log()?;
-    let agent = place.agent.context("agent")?;
-    let clock = Clock::start();
-    let carrier = Arc::new(Carrier::new(clock, &place));
-    let asked: Asked = Arc::default();
-    let (taking, answers) = (carrier.clone(), asked.clone());
-    let port = ControlPort::open(
-        NodeId(fresh_seed() >> 1),
-        place.control,
-        place.control,
-        move |envelope| {
-            if let Message::View { view } = envelope.message {
-                let asked_at = locked(&answers)
-                    .iter()
-                    .find(|(number, _)| *number == view.number)
-                    .map(|(_, asked_at)| *asked_at);
-                if let Some(asked_at) = asked_at {
-                    taking.take(asked_at, &view);
-                }
-            }
-        },
+    let reread: Reread = Arc::new(move || Place::read(&flags, &NEEDS).ok());
+    run_daemon(
+        place.terms.workers,
+        playout::daemon::run(place, reread, Dialect::own()),
     )
-    .await?;
-    event(
-        STARTED,
-        format!(
-            "playout serving {} agent {agent} area {}",
-            place.serving, place.area
-        ),
-    );
-    start_pulling(carrier.clone(), port, agent, asked);
-    let listener = listen(place.serving).await?;
-    let stop = Arc::new(AtomicBool::new(false));
-    let (stopping, carrying) = (stop.clone(), carrier.clone());
-    tokio::spawn(serve_http(listener, stop, move |far_end, order| {
-        carrying.clone().carry(far_end, order)
-    }));
-    asked_to_stop().await;
-    event(STOPPING, "");
-    carrier.stopping.store(true, Ordering::SeqCst);
-    stopping.store(true, Ordering::Relaxed);
-    tokio::time::sleep(LINGER).await;
-    carrier.closed.store(true, Ordering::SeqCst);
-    let until = Instant::now() + MOST_WAIT;
-    while carrier.under_way.load(Ordering::SeqCst) > 0 && Instant::now() < until {
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    event(STOPPED, "");
-    Ok(())
 }
--- a/crates/playout/src/prelude.rs
+++ b/crates/playout/src/prelude.rs
@@ -7,6 +7,7 @@
 pub use toolroom::prelude::*;
 
 pub use crate::carrier::*;
+pub use crate::dialect::*;
 pub use crate::gate::*;
 pub use crate::instance_circuits::*;
 pub use crate::passing::*;
--- a/crates/rehearsal/src/actors.rs
+++ b/crates/rehearsal/src/actors.rs
@@ -253,7 +253,7 @@
     fn rule_of(&self, rule: &Rule) -> Rule {
         let mut rule = rule.clone();
         if self.broken == BrokenProxy::IgnoresHome {
-            rule.home = None;
+            rule.homes.clear();
         }
         rule
     }
@@ -602,6 +602,7 @@
             up: now,
             holding: self.holdings.holding(now),
             let_go: self.holdings.let_go(),
+            cold_left: Duration::ZERO,
         }
     }
 }
--- a/crates/toolroom/src/desk.rs
+++ b/crates/toolroom/src/desk.rs
@@ -225,6 +225,44 @@
     let _ = tokio::time::timeout(STOP_PATIENCE, stopped.notified()).await;
 }
 
+/// Runs a daemon on as many threads as its place gives it.
+pub fn run_daemon(
+    workers: usize,
+    daemon: impl Future<Output = anyhow::Result<()>>,
+) -> anyhow::Result<()> {
+    let mut builder = match workers {
+        // Why no threads where one core is all there is: handing work to and fro costs more.
+        0 | 1 => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    };
+    if workers > 1 {
+        builder.worker_threads(workers);
+    }
+    builder.enable_all().build()?.block_on(daemon)
+}
+
+/// Reads a process's settings again; nothing when they cannot be read now.
+pub type Reread = Arc<dyn Fn() -> Option<Place> + Send + Sync>;
+
+/// Hands on the seeds each time that the platform says that the settings changed.
+pub fn follow_settings(reread: Reread, take: impl Fn(Vec<SocketAddr>) + Send + 'static) {
+    // Why at once and not in the task: a signal that nobody waits for ends the process.
+    let Ok(mut changed) = signal(SignalKind::hangup()) else {
+        return;
+    };
+    tokio::spawn(async move {
+        while changed.recv().await.is_some() {
+            match reread() {
+                Some(place) => {
+                    event(SETTINGS_READ, "");
+                    take(place.seeds);
+                }
+                None => event(SETTINGS_FAULTY, ""),
+            }
+        }
+    });
+}
+
 /// Ends when the platform asks for a stop.
 pub async fn asked_to_stop() {
     let (Ok(mut terminate), Ok(mut interrupt)) = (
--- a/crates/toolroom/src/events.rs
+++ b/crates/toolroom/src/events.rs
@@ -32,6 +32,8 @@
     111 Warn PORT_MISHAP "The control or HTTP port could not take a circuit.";
     112 Warn INBOX_FULL "More comes in than this process can take: inputs are turned away, callers told 503.";
     113 Info INBOX_TAKES "The inbox has room again.";
+    114 Info SETTINGS_READ "The settings were read again, as the platform said that they changed.";
+    115 Warn SETTINGS_FAULTY "The settings changed and cannot be read: the process goes on by those it has.";
     200 Info FOUNDED "All seeds were new; the cohort was founded with them as its seats.";
     201 Info BOOK_MOVED "A book went on to a later edition.";
     202 Info DUTY_WANTED "This ledger asks for a duty under the given epoch.";
--- a/crates/toolroom/src/http.rs
+++ b/crates/toolroom/src/http.rs
@@ -14,6 +14,9 @@
 pub const LOAD_HEADER: &str = "caperworks-load";
 pub const ORDER_HEADER: &str = "caperworks-order";
 
+/// An answer that is still being worked on.
+pub type BoxedAnswer = std::pin::Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
+
 pub fn whole(bytes: impl Into<Bytes>) -> Body {
     Full::new(bytes.into())
         .map_err(|never: std::convert::Infallible| match never {})
@@ -393,7 +396,16 @@
             let_go: beat
                 .let_go
                 .iter()
-                .map(|given| jzon::object! { slice: given.slice, epoch: given.epoch.0 })
+                .map(|given| {
+                    let mut json = jzon::object! { slice: given.slice };
+                    if let Some(epoch) = given.epoch {
+                        json["epoch"] = epoch.0.into();
+                    }
+                    if let Some(handover) = &given.handover {
+                        json["handover"] = handover.as_str().into();
+                    }
+                    json
+                })
                 .collect::<Vec<JsonValue>>(),
         }
     }
@@ -436,7 +448,11 @@
                 let slice = given["slice"].as_u32();
                 let epoch = given["epoch"].as_u64().map(Epoch);
                 match (slice, epoch) {
-                    (Some(slice), Some(epoch)) => Ok(LetGo { slice, epoch }),
+                    (Some(slice), Some(epoch)) => Ok(LetGo {
+                        slice,
+                        epoch: Some(epoch),
+                        handover: given["handover"].as_str().map(str::to_string),
+                    }),
                     _ => Err("let_go must list slices with their epochs"),
                 }
             })
@@ -456,6 +472,7 @@
             up: Duration::from_millis(number("up_ms")?),
             holding,
             let_go,
+            cold_left: Duration::ZERO,
         })
     }
 
@@ -515,11 +532,15 @@
         holds
             .iter()
             .map(|hold| {
-                jzon::object! {
+                let mut json = jzon::object! {
                     slice: hold.slice,
                     epoch: hold.epoch.0,
                     left_ms: hold.left.as_millis() as u64,
+                };
+                if let Some(handover) = &hold.handover {
+                    json["handover"] = handover.as_str().into();
                 }
+                json
             })
             .collect()
     }
@@ -540,6 +561,7 @@
                         slice: hold["slice"].as_u32()?,
                         epoch: Epoch(hold["epoch"].as_u64()?),
                         left: Duration::from_millis(hold["left_ms"].as_u64()?),
+                        handover: hold["handover"].as_str().map(str::to_string),
                     })
                 })
                 .collect()
@@ -547,6 +569,7 @@
         BeatAnswer {
             holds: list("holds"),
             release: list("release"),
+            ..BeatAnswer::default()
         }
     }
 }
@@ -571,8 +594,10 @@
             holding: vec![4, 17],
             let_go: vec![LetGo {
                 slice: 5,
-                epoch: Epoch(12),
+                epoch: Some(Epoch(12)),
+                handover: Some("5c0e".to_string()),
             }],
+            cold_left: Duration::ZERO,
         };
         let stamp = Stamp {
             node: NodeId(u64::MAX >> 1),
@@ -587,11 +612,13 @@
             slice: 4,
             epoch: Epoch(9),
             left: Duration::from_millis(6000),
+            handover: None,
         };
         let dated = DatedAnswer {
             answer: BeatAnswer {
                 holds: vec![hold],
                 release: Vec::new(),
+                ..BeatAnswer::default()
             },
             stamp,
             again: true,
--- a/crates/toolroom/src/options.rs
+++ b/crates/toolroom/src/options.rs
@@ -94,6 +94,46 @@
     })
 }
 
+/// How a process works where more than one way is sound.
+#[derive(Debug, Clone)]
+pub struct Terms {
+    pub core: CorePolicy,
+    pub proxy: ProxyPolicy,
+    /// How many threads carry its work.
+    pub workers: usize,
+    /// How often its machine looks at the time.
+    pub tick: Duration,
+    /// For how long a proxy that was asked to stop still takes requests.
+    pub linger: Duration,
+    /// For how long it then waits for those under way.
+    pub most_wait: Duration,
+    /// Where readiness is told besides, at an address of its own.
+    pub readiness: Option<SocketAddr>,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self {
+            core: CorePolicy::default(),
+            proxy: ProxyPolicy::default(),
+            workers: 2,
+            tick: Duration::from_millis(25),
+            // Why so long: directories' answers that name a proxy are good for two seconds.
+            linger: Duration::from_millis(2600),
+            most_wait: Duration::from_secs(10),
+            readiness: None,
+        }
+    }
+}
+
+impl Terms {
+    /// What proxies out of touch do.
+    pub fn serve_on(&mut self, serves_on: bool) {
+        self.core.proxies_serve_on = serves_on;
+        self.proxy.serves_on = serves_on;
+    }
+}
+
 /// A process's place, checked.
 #[derive(Debug, Clone)]
 pub struct Place {
@@ -108,9 +148,10 @@
     pub log_megabytes: u64,
     pub capacity: u32,
     pub agent: Option<SocketAddr>,
+    pub terms: Terms,
 }
 
-const KNOWN: [&str; 10] = [
+const KNOWN: [&str; 14] = [
     "control",
     "advertise",
     "serving",
@@ -121,6 +162,10 @@
     "log_mb",
     "capacity",
     "agent",
+    "out_of_touch",
+    "synced_ledgers",
+    "ledger_seats",
+    "witness_seats",
 ];
 
 /// Reads a JSON file of the operator's.
@@ -242,6 +287,26 @@
         let capacity = flags
             .capacity
             .unwrap_or(number("capacity", 100, 1_000_000) as u32);
+        let mut terms = Terms::default();
+        if !value["synced_ledgers"].is_null() {
+            terms.core.synced_ledgers = Some(number("synced_ledgers", 2, 9) as usize);
+        }
+        terms.core.ledger_seats = number("ledger_seats", 3, 9) as usize;
+        // Why none as well: where disks may be wiped while all lose power, seats without disks are
+        // lost with them, and a majority must not hang on any.
+        match &value["witness_seats"] {
+            JsonValue::Null => {}
+            seats => match seats.as_usize() {
+                Some(seats) if seats <= 9 => terms.core.witness_seats = seats,
+                _ => fault("witness_seats", "must be a whole number from 0 to 9"),
+            },
+        }
+        match value["out_of_touch"].as_str() {
+            Some("silent") => {}
+            Some("serve-on") => terms.serve_on(true),
+            None if value["out_of_touch"].is_null() => {}
+            _ => fault("out_of_touch", "must be silent or serve-on"),
+        }
         if faults.is_empty() {
             Ok(Self {
                 control: control.unwrap_or(blank),
@@ -254,6 +319,7 @@
                 log_megabytes,
                 capacity,
                 agent,
+                terms,
             })
         } else {
             Err(faults)
--- a/crates/understudy/src/main.rs
+++ b/crates/understudy/src/main.rs
@@ -128,6 +128,7 @@
             up,
             holding,
             let_go,
+            cold_left: Duration::ZERO,
         }
     }
 
