--- a/crates/caperworks/examples/dispatch.rs
+++ b/crates/caperworks/examples/dispatch.rs
@@ -75,6 +75,9 @@
         })
         .collect();
     let view = ProxyView {
+        agent: NodeId(1),
+        instances_place: 1,
+        all_instances: true,
         number: 1,
         left: Duration::from_secs(3600),
         news: vec![Vote::Whole {
--- a/crates/caperworks/src/books.rs
+++ b/crates/caperworks/src/books.rs
@@ -119,6 +119,8 @@
     struct Mapping {
         0 epoch: Epoch,
         1 groups: Vec<GroupPlacement>,
+        /// How many proxies were ready when it was written.
+        2 proxies: u32,
     }
 
     #[derive(Eq)]
--- a/crates/caperworks/src/dispatch.rs
+++ b/crates/caperworks/src/dispatch.rs
@@ -397,6 +397,9 @@
     pub closed: BTreeSet<Area>,
     pub regions: BTreeMap<Area, Region>,
     pub proxies: u32,
+    /// Up to which place of which agent the instances are held.
+    pub agent: NodeId,
+    pub instances_place: u64,
     pub policy: ProxyPolicy,
     /// Instances of areas that were taken back, with the last beat heard before: nobody knows yet
     /// whether they turned cold.
@@ -434,18 +437,23 @@
                     .collect();
             }
         }
-        self.by_pool.clear();
-        for beat in &view.instances {
-            self.by_pool
-                .entry(beat.pool.clone())
-                .or_default()
-                .push(beat.clone());
+        if view.all_instances {
+            self.instances.clear();
+        }
+        if view.all_instances || !view.instances.is_empty() {
+            let told = view.instances.iter();
+            self.instances
+                .extend(told.map(|beat| (beat.id.clone(), beat.clone())));
+            self.by_pool.clear();
+            for beat in self.instances.values() {
+                self.by_pool
+                    .entry(beat.pool.clone())
+                    .or_default()
+                    .push(beat.clone());
+            }
         }
-        self.instances = view
-            .instances
-            .iter()
-            .map(|beat| (beat.id.clone(), beat.clone()))
-            .collect();
+        self.agent = view.agent;
+        self.instances_place = view.instances_place;
         self.proxies = view.proxies.max(1);
         let instances = &self.instances;
         self.doubtful.retain(|id, counter| {
--- a/crates/caperworks/src/facts.rs
+++ b/crates/caperworks/src/facts.rs
@@ -39,6 +39,10 @@
         1 Directory,
     }
 
+    /// The zone that a group's clients say they stand in.
+    #[derive(Eq)]
+    struct GroupStand { 0 group: String, 1 area: Area }
+
     struct Demand {
         0 group: String,
         1 rule: RuleName,
@@ -59,6 +63,8 @@
         8 demand: Vec<Demand>,
         9 editions: Vec<Edition>,
         10 leaving: bool,
+        /// Where groups of clients say that they stand, as a directory heard it.
+        11 stands: Vec<GroupStand>,
     }
 
     /// A fact on its way between our processes, with the age it had when it left.
@@ -83,6 +89,26 @@
 }
 
 impl Beat {
+    /// What followers need of it: the holds are the keeper's matter.
+    fn for_followers(&self) -> Beat {
+        Beat {
+            holding: Vec::new(),
+            let_go: Vec::new(),
+            ..self.clone()
+        }
+    }
+
+    /// Whether it says something else than that one, besides being later.
+    fn tells_other_than(&self, other: &Beat) -> bool {
+        self.incarnation != other.incarnation
+            || self.address != other.address
+            || self.state != other.state
+            || self.pool != other.pool
+            || self.area != other.area
+            || self.capacity != other.capacity
+            || self.cold_left.is_zero() != other.cold_left.is_zero()
+    }
+
     /// Whether this beat is news next to that one.
     fn newer_than(&self, other: &Beat) -> bool {
         (self.incarnation, self.counter) > (other.incarnation, other.counter)
@@ -99,6 +125,8 @@
     fact: Fact,
     heard_at: Duration,
     learned: u64,
+    /// When it was last given a place of its own, so that followers hear it.
+    told_at: Duration,
 }
 
 /// For how long an instance that said it ended is remembered as gone.
@@ -108,20 +136,30 @@
 #[derive(Debug, Clone)]
 pub struct Instances {
     known: BTreeMap<InstanceId, Kept<Beat>>,
+    /// Who was heard last at an address. Why kept beside: looking through all for every beat is what
+    /// many instances would mostly cost.
+    by_address: HashMap<SocketAddr, InstanceId>,
     /// Those that said themselves that they ended, so that no late beat brings them back.
     ended: BTreeMap<InstanceId, Kept<()>>,
     learned: u64,
     /// One that was not heard of for this long is gone.
     pub span: Duration,
+    /// How long a beat that says nothing else than the one before need not be passed on.
+    pub refresh: Duration,
+    /// The place of the last removal.
+    removed: u64,
 }
 
 impl Default for Instances {
     fn default() -> Self {
         Self {
             known: BTreeMap::new(),
+            by_address: HashMap::new(),
             ended: BTreeMap::new(),
             learned: 0,
             span: INSTANCE_SPAN,
+            refresh: Duration::ZERO,
+            removed: 0,
         }
     }
 }
@@ -144,47 +182,76 @@
         let newcomer = self.known.get(&heard.beat.id).is_none_or(|kept| {
             kept.fact.incarnation != heard.beat.incarnation || kept.fact.address != address
         });
-        // Why by when it was heard: a late beat of the one before, passed on by a third node, must
-        // not push out the one that took its address over.
-        let outdone = self.known.iter().any(|(id, kept)| {
-            *id != heard.beat.id && kept.fact.address == address && kept.heard_at >= heard_at
-        });
-        if newcomer && outdone {
-            return false;
+        let other = self
+            .by_address
+            .get(&address)
+            .filter(|id| **id != heard.beat.id)
+            .cloned();
+        if let Some(other) = other {
+            // Why by when it was heard: a late beat of the one before, passed on by a third node,
+            // must not push out the one that took its address over.
+            let outdone = self
+                .known
+                .get(&other)
+                .is_some_and(|kept| kept.heard_at >= heard_at);
+            if !newcomer || outdone {
+                return false;
+            }
+            self.known.remove(&other);
+            self.note_removal();
         }
-        if newcomer {
-            self.known
-                .retain(|id, kept| *id == heard.beat.id || kept.fact.address != address);
-        } else if self
-            .known
-            .iter()
-            .any(|(id, kept)| *id != heard.beat.id && kept.fact.address == address)
-        {
-            return false;
+        if let Some(kept) = self.known.get(&heard.beat.id) {
+            self.by_address.remove(&kept.fact.address);
         }
-        self.learned += 1;
+        self.by_address.insert(address, heard.beat.id.clone());
+        let quiet = self.known.get(&heard.beat.id).filter(|kept| {
+            !heard.beat.tells_other_than(&kept.fact)
+                && now.saturating_sub(kept.told_at) < self.refresh
+        });
+        // Why its old place: followers are told of what is new, and that it still lives now and then.
+        let (learned, told_at) = match quiet {
+            Some(kept) => (kept.learned, kept.told_at),
+            None => {
+                self.learned += 1;
+                (self.learned, now)
+            }
+        };
         self.known.insert(
             heard.beat.id.clone(),
             Kept {
                 fact: heard.beat.clone(),
                 heard_at,
-                learned: self.learned,
+                learned,
+                told_at,
             },
         );
         true
     }
 
+    /// The place of the last removal; who stands before it must be told of all.
+    pub fn removed(&self) -> u64 {
+        self.removed
+    }
+
+    fn note_removal(&mut self) {
+        self.learned += 1;
+        self.removed = self.learned;
+    }
+
     /// Takes an instance's word that it ended; says whether that was news.
     pub fn end(&mut self, now: Duration, id: &InstanceId) -> bool {
         if self.ended.contains_key(id) {
             return false;
         }
-        self.known.remove(id);
-        self.learned += 1;
+        if let Some(kept) = self.known.remove(id) {
+            self.by_address.remove(&kept.fact.address);
+        }
+        self.note_removal();
         let kept = Kept {
             fact: (),
             heard_at: now,
             learned: self.learned,
+            told_at: now,
         };
         self.ended.insert(id.clone(), kept);
         true
@@ -212,13 +279,20 @@
         let span = self.span;
         self.ended
             .retain(|_, kept| now.saturating_sub(kept.heard_at) < ENDED_SPAN);
+        let by_address = &mut self.by_address;
         self.known.retain(|id, kept| {
             let lives = now.saturating_sub(kept.heard_at) < span;
+            if !lives {
+                by_address.remove(&kept.fact.address);
+            }
             if !lives {
                 gone.push(id.clone());
             }
             lives
         });
+        if !gone.is_empty() {
+            self.note_removal();
+        }
         gone
     }
 
@@ -232,7 +306,7 @@
             .values()
             .filter(|kept| kept.learned > place)
             .map(|kept| HeardBeat {
-                beat: kept.fact.clone(),
+                beat: kept.fact.for_followers(),
                 age: now.saturating_sub(kept.heard_at),
             })
             .collect()
@@ -264,6 +338,8 @@
 pub struct Members {
     known: BTreeMap<NodeId, Kept<Member>>,
     learned: u64,
+    /// How long a member that says nothing else than before need not be passed on.
+    pub refresh: Duration,
 }
 
 impl Members {
@@ -282,18 +358,47 @@
             self.known
                 .retain(|_, kept| kept.fact.control != heard.member.control);
         }
-        self.learned += 1;
+        let quiet = self.known.get(&node).filter(|kept| {
+            let (said, before) = (&heard.member, &kept.fact);
+            said.ready == before.ready
+                && said.leaving == before.leaving
+                && said.serving == before.serving
+                && said.stands == before.stands
+                && now.saturating_sub(kept.told_at) < self.refresh
+        });
+        let (learned, told_at) = match quiet {
+            Some(kept) => (kept.learned, kept.told_at),
+            None => {
+                self.learned += 1;
+                (self.learned, now)
+            }
+        };
         self.known.insert(
             node,
             Kept {
                 fact: heard.member.clone(),
                 heard_at,
-                learned: self.learned,
+                learned,
+                told_at,
             },
         );
         true
     }
 
+    /// Counts a member that fell silent here as not ready, for everyone, until it is heard again.
+    ///
+    /// Why under the next counter: whoever has heard it later than we have knows better.
+    pub fn count_silent(&mut self, now: Duration, node: NodeId) {
+        let Some(kept) = self.known.get_mut(&node).filter(|kept| kept.fact.ready) else {
+            return;
+        };
+        kept.fact.ready = false;
+        kept.fact.counter += 1;
+        self.learned += 1;
+        kept.learned = self.learned;
+        kept.told_at = now;
+    }
+
     pub fn expire(&mut self, now: Duration) -> Vec<NodeId> {
         let mut gone = Vec::new();
         self.known.retain(|node, kept| {
--- a/crates/caperworks/src/link.rs
+++ b/crates/caperworks/src/link.rs
@@ -3,6 +3,8 @@
 use crate::prelude::*;
 
 pub const RENEW_PERIOD: Duration = Duration::from_millis(300);
+/// For how long a number of proxies that was told counts.
+const PROXIES_SPAN: Duration = Duration::from_secs(10);
 /// A ledger that has not answered for this long is left for another.
 const PATIENCE: Duration = Duration::from_millis(800);
 
@@ -24,6 +26,8 @@
     pub permit: PermitHolder,
     pub instances: Instances,
     pub members: Members,
+    /// How many proxies there were, as told of late.
+    proxies: VecDeque<(Duration, u32)>,
 }
 
 impl CoreLink {
@@ -45,6 +49,7 @@
             permit: PermitHolder::default(),
             instances: Instances::default(),
             members: Members::default(),
+            proxies: VecDeque::new(),
         }
     }
 
@@ -127,6 +132,15 @@
         self.renew_at = now;
     }
 
+    /// How many proxies share what is shared.
+    ///
+    /// Why the most of a while: what is shared may at once be shared among more, and only later
+    /// among fewer; a ledger that has just begun has not heard of all.
+    pub fn proxies(&self) -> u32 {
+        let told = self.proxies.iter().map(|(_, proxies)| *proxies);
+        told.max().unwrap_or(0).max(1)
+    }
+
     /// Takes a ledger's answer; says which books moved on.
     pub fn granted(&mut self, now: Duration, from: NodeId, granted: &Granted) -> Vec<BookName> {
         // Why dated by our question: an answer that lay in a socket while we slept, or took long on
@@ -134,6 +148,10 @@
         if let Some(sent_at) = self.permit.sent_at(granted.number) {
             let lain = now.saturating_sub(sent_at);
             self.ledger_node = from;
+            self.proxies.push_back((now, granted.proxies));
+            while self.proxies.len() > 1 && now.saturating_sub(self.proxies[0].0) >= PROXIES_SPAN {
+                self.proxies.pop_front();
+            }
             self.instances_place = granted.instances_place;
             self.members_place = granted.members_place;
             for heard in &granted.instances {
--- a/crates/caperworks/src/messages.rs
+++ b/crates/caperworks/src/messages.rs
@@ -39,6 +39,8 @@
         8 assured: bool,
         /// Instances that ended, as they said themselves.
         9 gone: Vec<InstanceId>,
+        /// How many proxies are ready, or were when that was last written down.
+        10 proxies: u32,
     }
 
     /// What one proxy carried in one hour for one rule.
@@ -65,6 +67,9 @@
         6 demand: Vec<Demand>,
         7 life: u64,
         8 usage: Vec<UsageLine>,
+        /// Up to which place of which agent the instances are held.
+        9 agent: NodeId,
+        10 instances_place: u64,
     }
 
     struct ProxyView {
@@ -75,6 +80,10 @@
         4 proxies: u32,
         5 standing: Edition,
         6 tenure: Edition,
+        7 agent: NodeId,
+        8 instances_place: u64,
+        /// Whether the instances are all there are, and not only those that changed.
+        9 all_instances: bool,
     }
 
     enum Message {
--- a/crates/caperworks/src/placement.rs
+++ b/crates/caperworks/src/placement.rs
@@ -246,6 +246,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Solver {
     measured: BTreeMap<(String, RuleName), Measured>,
+    /// Where groups say that they stand.
+    stands: BTreeMap<String, Area>,
     solved_at: Option<Duration>,
     live_sites: BTreeSet<Area>,
 }
@@ -258,6 +260,8 @@
     pub last: Option<&'view Mapping>,
     /// Requests a second for each unit of an instance's capacity.
     pub requests_per_slot: u32,
+    /// Whether proxies outside a route's homes take its requests and send them home.
+    pub carries_home: bool,
 }
 
 impl Solver {
@@ -298,6 +302,9 @@
                 }
             }
         }
+        for stand in view.members.iter().flat_map(|member| &member.stands) {
+            self.stands.insert(stand.group.clone(), stand.area.clone());
+        }
         for (key, measured) in &mut self.measured {
             if !sums.contains_key(key) {
                 measured.demand *= 0.7;
@@ -338,6 +345,7 @@
         Some(Mapping {
             epoch,
             groups: self.place(&open, view),
+            proxies: view.members.ready_proxies().count() as u32,
         })
     }
 
@@ -365,7 +373,8 @@
                 groups.push((group.clone(), measured.demand.ceil().max(1.0) as u32));
             }
         }
-        let may_use = |rule: &Rule, area: &Area| rule.is_at_home(regions.get(area));
+        let may_use =
+            |rule: &Rule, area: &Area| view.carries_home || rule.is_at_home(regions.get(area));
         // What each rule is expected to bring to a site if it spreads over all it may use.
         let expected: BTreeMap<RuleName, f64> = view
             .standing
@@ -433,7 +442,8 @@
                         rule: name.clone(),
                         demand: *units,
                         list: ranked(group, &sites, &used, |area| {
-                            Some(distance_to(area, measured, &regions))
+                            let stands = self.stands.get(group);
+                            Some(distance_to(area, measured, stands, &regions))
                         }),
                         last: used,
                     }
@@ -463,9 +473,19 @@
     }
 }
 
-fn distance_to(area: &Area, measured: Option<&Measured>, regions: &BTreeMap<Area, Region>) -> u32 {
+fn distance_to(
+    area: &Area,
+    measured: Option<&Measured>,
+    stands: Option<&Area>,
+    regions: &BTreeMap<Area, Region>,
+) -> u32 {
     let Some(measured) = measured.filter(|measured| !measured.distance.is_empty()) else {
-        return UNMEASURED_FAR;
+        // Why by where they say they stand: there the kernel tells no round trip.
+        return match stands {
+            Some(stands) if stands == area => 0,
+            Some(stands) if regions.get(stands) == regions.get(area) => UNMEASURED_NEAR,
+            _ => UNMEASURED_FAR,
+        };
     };
     if let Some(micros) = measured.distance.get(area) {
         return *micros as u32;
@@ -486,7 +506,10 @@
     let Some(last) = last else {
         return true;
     };
-    if last.groups.len() != next.groups.len() || last.epoch != next.epoch {
+    // Why the number only when it grows or falls much: it bounds what proxies share, and a restart
+    // of one is no reason to write.
+    let many = next.proxies > last.proxies || next.proxies * 5 < last.proxies * 4;
+    if many || last.groups.len() != next.groups.len() || last.epoch != next.epoch {
         return true;
     }
     last.groups.iter().zip(&next.groups).any(|(before, after)| {
--- a/crates/caperworks/src/policy.rs
+++ b/crates/caperworks/src/policy.rs
@@ -24,6 +24,16 @@
     pub listen: Duration,
     /// Requests a second that the solver counts for each unit of an instance's capacity.
     pub requests_per_slot: u32,
+    /// Whether proxies outside a route's homes take its requests and send them home.
+    pub carries_home: bool,
+    /// How long a beat that says nothing new need not be passed on to followers.
+    pub beat_refresh: Duration,
+    /// The same for members.
+    pub member_refresh: Duration,
+    /// A member that renews its lease here and then not for so long counts as not ready.
+    pub member_silence: Duration,
+    /// A ledger's seat is given to one that waits after so long a silence.
+    pub ledger_lost: Duration,
 }
 
 impl Default for CorePolicy {
@@ -39,6 +49,11 @@
             keeper: KeeperSpans::default(),
             listen: Duration::from_millis(1200),
             requests_per_slot: 1,
+            carries_home: false,
+            beat_refresh: Duration::ZERO,
+            member_refresh: Duration::ZERO,
+            member_silence: MEMBER_SPAN,
+            ledger_lost: Duration::from_secs(6),
         }
     }
 }
--- a/crates/caperworks/tests/dispatch_stories.rs
+++ b/crates/caperworks/tests/dispatch_stories.rs
@@ -151,6 +151,9 @@
     standing.apply(&change);
     let mut knowledge = ProxyKnowledge::default();
     let view = ProxyView {
+        agent: NodeId(1),
+        instances_place: 1,
+        all_instances: true,
         number: 1,
         left: millis(3000),
         news: vec![Vote::Whole {
@@ -406,6 +409,9 @@
 fn given_an_answer_of_the_agent_that_was_overtaken_when_it_comes_then_it_changes_nothing() {
     let mut known = knowledge(&[beat("one", "e1", 60_000)]);
     let view = |number: u64, state: InstanceState| ProxyView {
+        agent: NodeId(1),
+        instances_place: 1,
+        all_instances: true,
         number,
         left: millis(3000),
         news: Vec::new(),
--- a/crates/caperworks/tests/placement_stories.rs
+++ b/crates/caperworks/tests/placement_stories.rs
@@ -262,6 +262,7 @@
             locality: Duration::from_millis(if area.starts_with('e') { 2 } else { 50 }),
         };
         let member = Member {
+            stands: Vec::new(),
             node: NodeId(steady_hash(area)),
             counter: self.counter,
             role: Role::Proxy,
@@ -339,6 +340,7 @@
 
     fn solves(&self, solver: &mut Solver, seconds: u64, last: Option<&Mapping>) -> Mapping {
         let view = ProblemView {
+            carries_home: false,
             standing: &self.standing,
             instances: &self.instances,
             members: &self.members,
--- a/crates/cuesheet/src/daemon.rs
+++ b/crates/cuesheet/src/daemon.rs
@@ -91,6 +91,7 @@
         serving: place.serving,
         area: place.area.clone(),
         seeds: place.seeds.clone(),
+        member_refresh: place.terms.core.member_refresh,
     };
     let machine = CuesheetMachine::start(options, fresh_seed());
     let node = machine.node();
--- a/crates/cuesheet/src/machine.rs
+++ b/crates/cuesheet/src/machine.rs
@@ -5,12 +5,17 @@
 /// The books that a directory follows.
 const FOLLOWED: [BookName; 3] = [BookName::Standing, BookName::Placement, BookName::Cohort];
 
+/// Of how many groups a directory remembers where they stand.
+const MOST_STANDS: usize = 512;
+
 #[derive(Debug, Clone)]
 pub struct CuesheetOptions {
     pub control: SocketAddr,
     pub serving: SocketAddr,
     pub area: Area,
     pub seeds: Vec<SocketAddr>,
+    /// How long a member that says nothing new need not be told again.
+    pub member_refresh: Duration,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -42,6 +47,8 @@
     /// The proxies as last heard: kept when the core falls silent.
     proxies: Vec<(Area, SocketAddr)>,
     chance: Chance,
+    /// Where groups of clients said that they stand.
+    stands: BTreeMap<String, Area>,
     ready: bool,
 }
 
@@ -49,7 +56,8 @@
     pub fn start(options: CuesheetOptions, seed: u64) -> Self {
         let mut chance = Chance::seeded(seed);
         let node = NodeId(chance.draw() >> 1);
-        let link = CoreLink::new(node, &FOLLOWED, options.seeds.clone(), chance.draw());
+        let mut link = CoreLink::new(node, &FOLLOWED, options.seeds.clone(), chance.draw());
+        link.members.refresh = options.member_refresh;
         Self {
             options,
             node,
@@ -58,6 +66,7 @@
             table: RuleTable::default(),
             proxies: Vec::new(),
             chance,
+            stands: BTreeMap::new(),
             ready: true,
         }
     }
@@ -104,6 +113,14 @@
                         demand: Vec::new(),
                         editions: self.link.editions(),
                         leaving: !self.ready,
+                        stands: self
+                            .stands
+                            .iter()
+                            .map(|(group, area)| GroupStand {
+                                group: group.clone(),
+                                area: area.clone(),
+                            })
+                            .collect(),
                     };
                     let (to, message) = self.link.renew(now, member);
                     outputs.push(CuesheetOutput::Send { to, message });
@@ -130,17 +147,22 @@
     /// Why only on an assured answer: while the core is out of reach no proxy's silence means
     /// anything, and the last list is the best there is.
     fn heard_members(&mut self, now: Duration, assured: bool) {
-        if !assured {
-            return;
+        if assured {
+            self.link.members.expire(now);
         }
-        self.link.members.expire(now);
         let proxies: Vec<(Area, SocketAddr)> = self
             .link
             .members
             .ready_proxies()
             .map(|member| (member.area.clone(), member.serving))
             .collect();
-        if !proxies.is_empty() {
+        // Why half without assurance: a zone may be lost together with most of the core, but a ledger
+        // that is cut off itself misses nearly everyone.
+        let enough = match assured {
+            true => !proxies.is_empty(),
+            false => proxies.len() * 2 >= self.proxies.len() && !proxies.is_empty(),
+        };
+        if enough {
             self.proxies = proxies;
         }
     }
@@ -153,19 +175,17 @@
         area: &Area,
         client: IpAddr,
     ) -> Result<Whereabouts, Nowhere> {
+        let group = group_of(client);
+        // Why bounded: a directory's memory is small, and the clients that it hears are few.
+        if self.stands.len() < MOST_STANDS || self.stands.contains_key(&group) {
+            self.stands.insert(group.clone(), area.clone());
+        }
         let draw = self.chance.draw();
         let shelf = self.link.shelf.follower();
         let rules: Vec<&RuleName> = self.table.of_host(host).map(|(name, _)| name).collect();
         let mapping = shelf.book(BookName::Placement).mapping();
-        whereabouts_of_host(
-            mapping,
-            &rules,
-            &group_of(client),
-            area,
-            &self.proxies,
-            draw,
-        )
-        .ok_or(Nowhere::NoPlace)
+        whereabouts_of_host(mapping, &rules, &group, area, &self.proxies, draw)
+            .ok_or(Nowhere::NoPlace)
     }
 
     /// Where a client at this address should take an order for this host and path.
--- a/crates/ledger/src/blackboard.rs
+++ b/crates/ledger/src/blackboard.rs
@@ -167,7 +167,11 @@
     /// Beats that wait for the keeper's answer.
     pub beats: Vec<WaitingBeat>,
     pub next_beat: u64,
+    /// When we last looked at the time.
+    pub ticked_at: Duration,
     pub members: Members,
+    /// When members last renewed here.
+    pub renewed: BTreeMap<NodeId, Duration>,
     pub shared_instances: u64,
     pub shared_members: u64,
     pub share_at: Duration,
--- a/crates/ledger/src/council.rs
+++ b/crates/ledger/src/council.rs
@@ -183,11 +183,11 @@
     let unknown = board.book(BookName::Cohort).edition == Edition(0);
     let seeds = board.options.seeds.clone();
     if unknown || !board.is_seat() {
-        let control = board.options.control;
-        for seed in seeds.iter().filter(|seed| **seed != control) {
+        // Why all ledgers that are known: whoever has the seating duty may be none of our seeds.
+        for ledger in board.other_ledgers() {
             let area = board.options.area.clone();
             let founded = !unknown;
-            board.send(*seed, Message::SeedAsk { area, founded });
+            board.send(ledger, Message::SeedAsk { area, founded });
         }
     }
     // Why only if told so: a disk that is empty later was lost, and what it held is elsewhere.
--- a/crates/ledger/src/duties.rs
+++ b/crates/ledger/src/duties.rs
@@ -131,6 +131,7 @@
         members: &board.members,
         last: board.seat.book(BookName::Placement).mapping(),
         requests_per_slot: board.options.core.requests_per_slot,
+        carries_home: board.options.core.carries_home,
     };
     let Some(mapping) = board.solver.step(now, epoch, &view) else {
         return;
@@ -202,8 +203,6 @@
 const REFUSAL_PERIOD: Duration = Duration::from_secs(5);
 /// How many editions a witness may be behind when it gets its seat.
 const WITNESS_LAG: u64 = 20;
-/// A ledger's seat is only given away after so long a silence, and only to another ledger.
-const LEDGER_LOST: Duration = Duration::from_secs(6);
 
 /// Sees to it that the seats are held by the living: one change at a time.
 fn seat(board: &mut Blackboard, held: Duration) {
@@ -320,10 +319,16 @@
         let why = format!("witness {} is lost", lost.node);
         return Some((without(lost.node), why));
     }
-    let lost_ledger = seats
-        .holders
-        .iter()
-        .find(|holder| holder.ledger && silent(holder.node) >= LEDGER_LOST);
+    let lost_ledger = seats.holders.iter().find(|holder| {
+        // Why at once when another answers at its address: it cannot come back there.
+        let replaced = board
+            .seeds
+            .get(&holder.address)
+            .is_some_and(|seen| seen.node != holder.node)
+            && silent(holder.node) > SILENCE;
+        let lost = silent(holder.node) >= board.options.core.ledger_lost;
+        holder.ledger && (replaced || lost)
+    });
     // Why only for another: a ledger's disk is worth its seat as long as nobody can replace it.
     if let Some(lost) = lost_ledger.filter(|_| newcomer_waits(board, seats)) {
         let why = format!("ledger {} is lost and another waits", lost.node);
--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine.rs
@@ -223,7 +223,9 @@
                 instances: Instances::default(),
                 beats: Vec::new(),
                 next_beat: 0,
+                ticked_at: Duration::ZERO,
                 members: Members::default(),
+                renewed: BTreeMap::new(),
                 shared_instances: 0,
                 shared_members: 0,
                 share_at: Duration::ZERO,
@@ -244,6 +246,8 @@
             },
         };
         machine.board.instances.span = machine.board.options.core.instance_span;
+        machine.board.members.refresh = machine.board.options.core.member_refresh;
+        machine.board.instances.refresh = machine.board.options.core.beat_refresh;
         for event in events {
             machine.board.note(event);
         }
@@ -304,6 +308,7 @@
     for node in board.members.expire(board.now) {
         board.note(Event::MemberGone { node });
     }
+    count_silent_members(board);
     answer_late_beats(board);
     share_facts(board);
     duties::tick_duties(board);
@@ -408,6 +413,26 @@
     board.outputs.push(LedgerOutput::Answer { ticket, answer });
 }
 
+/// Counts members that fell silent here as not ready.
+fn count_silent_members(board: &mut Blackboard) {
+    let (now, silence) = (board.now, board.options.core.member_silence);
+    let silent: Vec<NodeId> = board
+        .renewed
+        .iter()
+        .filter(|(_, renewed)| now.saturating_sub(**renewed) >= silence)
+        .map(|(node, _)| *node)
+        .collect();
+    // Why not after a gap of our own: then it was we who did not listen.
+    let listened = now.saturating_sub(board.ticked_at) < silence / 2;
+    board.ticked_at = now;
+    for node in silent {
+        board.renewed.remove(&node);
+        if listened {
+            board.members.count_silent(now, node);
+        }
+    }
+}
+
 /// Answers the beats whose keeper was silent: they were heard, only no hold is renewed.
 fn answer_late_beats(board: &mut Blackboard) {
     let now = board.now;
@@ -522,6 +547,7 @@
             age,
         };
         board.members.hear(now, &heard);
+        board.renewed.insert(member.node, now.saturating_sub(age));
     }
     // Why the place only counts under our own name: another ledger numbers its facts otherwise.
     let (instances_after, members_after) = if renewal.ledger == board.node {
@@ -551,6 +577,22 @@
             .latest(now)
             .map(|round| (now.saturating_sub(round.started), round.editions.clone())),
     };
+    // Why members only for directories: agents need no more than their number, and with many nodes
+    // the list would be most of what a node hears.
+    let members = match member.role {
+        Role::Directory => board.members.after(now, members_after),
+        Role::Proxy => Vec::new(),
+    };
+    let members = members
+        .into_iter()
+        .map(|mut heard| {
+            heard.member.demand.clear();
+            heard
+        })
+        .collect();
+    let written = board.book(BookName::Placement).mapping();
+    let written = written.map_or(0, |mapping| mapping.proxies);
+    let proxies = written.max(board.members.ready_proxies().count() as u32);
     let assured = round.is_some();
     let (round_age, editions) = round.unwrap_or((PERMIT_SPAN, Vec::new()));
     let granted = Granted {
@@ -560,7 +602,8 @@
         instances: board.instances.after(now, instances_after),
         instances_place: board.instances.learned(),
         gone: board.instances.ended_after(now, instances_after),
-        members: board.members.after(now, members_after),
+        proxies,
+        members,
         members_place: board.members.learned(),
         news,
         assured,
--- a/crates/mentor/src/daemon.rs
+++ b/crates/mentor/src/daemon.rs
@@ -94,6 +94,7 @@
         seeds: place.seeds.clone(),
         proxy_serves_on: place.terms.proxy.serves_on,
         instance_span: place.terms.core.instance_span,
+        beat_refresh: place.terms.core.beat_refresh,
     };
     let machine = MentorMachine::start(options, fresh_seed());
     let (inbox, receiver) = Inbox::open();
--- a/crates/mentor/src/machine.rs
+++ b/crates/mentor/src/machine.rs
@@ -24,6 +24,8 @@
     pub proxy_serves_on: bool,
     /// An instance that has not beaten for so long is gone.
     pub instance_span: Duration,
+    /// How long a beat that says nothing new need not be told to the proxy.
+    pub beat_refresh: Duration,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -123,6 +125,7 @@
         let node = NodeId(chance.draw() >> 1);
         let mut link = CoreLink::new(node, &FOLLOWED, options.seeds.clone(), chance.draw());
         link.instances.span = options.instance_span;
+        link.instances.refresh = options.beat_refresh;
         let islander = Islander::new(options.control);
         Self {
             options,
@@ -189,6 +192,7 @@
             demand: proxy.map(|pull| pull.demand.clone()).unwrap_or_default(),
             editions: self.link.editions(),
             leaving: self.stopping_since.is_some(),
+            stands: Vec::new(),
         }
     }
 
@@ -532,7 +536,8 @@
         .into_iter()
         .filter_map(|(name, after)| self.link.shelf.news_after(name, after))
         .collect();
-        let heard = self.link.members.ready_proxies().count();
+        let all = pull.agent != self.node || pull.instances_place < self.link.instances.removed();
+        let heard = self.link.proxies() as usize;
         // Why the whole roster out of the core's reach: who of it still serves cannot be told, and
         // what is shared among the proxies must not be shared among fewer than there are.
         let roster = follower.book(BookName::Cohort).roster();
@@ -545,7 +550,16 @@
             number: pull.number,
             left: self.fresh_until().saturating_sub(now),
             news,
-            instances: self.link.instances.iter().cloned().collect(),
+            instances: match all {
+                true => self.link.instances.iter().cloned().collect(),
+                false => {
+                    let changed = self.link.instances.after(now, pull.instances_place);
+                    changed.into_iter().map(|heard| heard.beat).collect()
+                }
+            },
+            agent: self.node,
+            instances_place: self.link.instances.learned(),
+            all_instances: all,
             proxies: proxies.max(1),
             standing: follower.book(BookName::Standing).edition,
             tenure: follower.book(BookName::Tenure).edition,
--- a/crates/playout/src/carrier.rs
+++ b/crates/playout/src/carrier.rs
@@ -5,8 +5,6 @@
 /// Bodies and answers up to this size are held whole, so that a shot can be repeated and a
 /// truncated answer never reaches the caller.
 const SMALL: u64 = 64 * 1024;
-/// Requests' bodies up to this size are held whole.
-const SMALL_BODY: u64 = 512 * 1024;
 const METER_SHARDS: usize = 8;
 /// How long the demand meter looks back.
 const METER_SPAN: Duration = Duration::from_secs(4);
@@ -24,6 +22,7 @@
     pub area: Area,
     pub serving: SocketAddr,
     pub capacity: u32,
+    held_body: u64,
     pub stopping: AtomicBool,
     /// Set when even new orders are refused, just before the end.
     pub closed: AtomicBool,
@@ -68,6 +67,7 @@
             area: place.area.clone(),
             serving: place.serving,
             capacity: place.capacity,
+            held_body: place.terms.held_body,
             stopping: AtomicBool::new(false),
             closed: AtomicBool::new(false),
             under_way: AtomicU32::new(0),
@@ -359,7 +359,7 @@
     ) -> Result<OrderBody, Mishap> {
         match body.size_hint().exact() {
             Some(length) if length > rule.body_limit => Err(Mishap::BodyTooLarge),
-            Some(length) if length <= SMALL_BODY => {
+            Some(length) if length <= self.held_body => {
                 let left = chart.deadline().saturating_sub(self.clock.now());
                 match tokio::time::timeout(left, body.collect()).await {
                     Ok(Ok(collected)) => {
@@ -450,8 +450,7 @@
         let refused = (dialect.told_not_run)(answer.status(), answer.headers());
         let another = match echoed {
             Some(echoed) => echoed != outgoing.order_id,
-            // Why not of a refusal: whoever has another's address may know nothing of requests' names.
-            None => dialect.callers_name_requests && !refused,
+            None => dialect.callers_name_requests,
         };
         if another {
             return ShotAnswer::Ended(ShotEnd::Garbage);
@@ -472,7 +471,9 @@
                 .seal
                 .as_ref()
                 .is_some_and(|seal| !answer.headers().contains_key(seal));
-        if unsealed || !well_framed(&answer) {
+        // Why no promise of ours: the instance did not say that it ran nothing.
+        let false_promise = dialect.promises.contains(&answer.status().as_u16());
+        if unsealed || false_promise || !well_framed(&answer) {
             return ShotAnswer::Ended(ShotEnd::Garbage);
         }
         self.pass_on(answer, circuit, key, guard, chart, under_way)
@@ -722,7 +723,12 @@
             Told::NotRun => "not-run",
             Told::Unknown => "unknown",
         };
-        self.told_answer(mishap.status(), told, mishap.word(), mishap.retry_after())
+        // Why another status in doubt: one that promises would be a lie.
+        let status = match (told, mishap.status()) {
+            ("unknown", status) if self.dialect.promises.contains(&status) => 502,
+            (_, status) => status,
+        };
+        self.told_answer(status, told, mishap.word(), mishap.retry_after())
     }
 
     fn told_answer(
--- a/crates/playout/src/daemon.rs
+++ b/crates/playout/src/daemon.rs
@@ -2,14 +2,18 @@
 
 use crate::prelude::*;
 
-const PULL_PERIOD: Duration = Duration::from_millis(150);
-
 /// Asks the agent again and again what the world is like.
-fn start_pulling(carrier: Arc<Carrier>, port: ControlPort, agent: SocketAddr, asked: Asked) {
+fn start_pulling(
+    carrier: Arc<Carrier>,
+    port: ControlPort,
+    agent: SocketAddr,
+    asked: Asked,
+    period: Duration,
+) {
     tokio::spawn(async move {
         let mut number = 0;
         let life = fresh_seed();
-        let mut beat = tokio::time::interval(PULL_PERIOD);
+        let mut beat = tokio::time::interval(period);
         beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut was_ready = false;
         loop {
@@ -33,6 +37,8 @@
                 demand: carrier.demand(),
                 life,
                 usage: carrier.usage.lines(),
+                agent: knowledge.agent,
+                instances_place: knowledge.instances_place,
             };
             {
                 let mut asked = locked(&asked);
@@ -81,7 +87,7 @@
             place.serving, place.area
         ),
     );
-    start_pulling(carrier.clone(), port, agent, asked);
+    start_pulling(carrier.clone(), port, agent, asked, place.terms.pull);
     let listener = listen(place.serving).await?;
     let stop = Arc::new(AtomicBool::new(false));
     let (stopping, carrying) = (stop.clone(), carrier.clone());
--- a/crates/playout/src/dialect.rs
+++ b/crates/playout/src/dialect.rs
@@ -32,6 +32,8 @@
     pub fractions: bool,
     /// The path that tells readiness to whoever reaches the proxy.
     pub ready_path: &'static str,
+    /// Answers that promise callers that nothing ran: an instance's own are no such word.
+    pub promises: &'static [u16],
     /// Whether an instance says that it ran nothing.
     pub told_not_run: fn(StatusCode, &HeaderMap) -> bool,
     /// The load that an instance tells with its answer.
@@ -67,6 +69,7 @@
             own_prefix: Some("caperworks-"),
             fractions: false,
             ready_path: "/caperworks/ready",
+            promises: &[],
             told_not_run: own_told_not_run,
             load: own_load,
         }
--- a/crates/rehearsal/src/actors.rs
+++ b/crates/rehearsal/src/actors.rs
@@ -211,6 +211,8 @@
             demand: self.demand.clone(),
             life: self.seed,
             usage: Vec::new(),
+            agent: self.knowledge.agent,
+            instances_place: self.knowledge.instances_place,
         };
         let message = Message::Pull { pull };
         kept_back
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -433,6 +433,7 @@
                 let options = MentorOptions {
                     proxy_serves_on: false,
                     instance_span: INSTANCE_SPAN,
+                    beat_refresh: Duration::ZERO,
                     control: address,
                     area,
                     seeds,
@@ -452,6 +453,7 @@
             }
             Kind::Cuesheet => {
                 let options = CuesheetOptions {
+                    member_refresh: Duration::ZERO,
                     control: address,
                     serving: address,
                     area,
--- a/crates/toolroom/src/disk.rs
+++ b/crates/toolroom/src/disk.rs
@@ -3,6 +3,9 @@
 use crate::prelude::*;
 
 const BATCH: usize = 64;
+const IMAGE_CHUNK: usize = 64 * 1024;
+/// More zeros than any state or record ends in.
+const ZERO_TAIL: usize = 64 * 1024;
 
 /// Turns the signal that a write beyond a file size limit brings into that write's error.
 ///
@@ -69,9 +72,25 @@
     }
 
     pub fn image(&self) -> anyhow::Result<DiskImage> {
+        // Why without the zeros at the end: most of the room is never written, and a small machine
+        // should not hold it in memory. What a header counts is all there again.
         let read = |file: &File| -> anyhow::Result<Vec<u8>> {
-            let mut bytes = vec![0; file.metadata()?.len() as usize];
-            file.read_exact_at(&mut bytes, 0)?;
+            let length = file.metadata()?.len();
+            let mut bytes = Vec::new();
+            let mut chunk = vec![0; IMAGE_CHUNK];
+            let mut offset = 0;
+            while offset < length {
+                let part = (length - offset).min(IMAGE_CHUNK as u64) as usize;
+                file.read_exact_at(&mut chunk[..part], offset)?;
+                if let Some(last) = chunk[..part].iter().rposition(|byte| *byte != 0) {
+                    bytes.resize(offset as usize, 0);
+                    bytes.extend_from_slice(&chunk[..=last]);
+                }
+                offset += part as u64;
+            }
+            // Why some zeros all the same: a payload may end in them.
+            let tail = (bytes.len() + ZERO_TAIL).min(length as usize);
+            bytes.resize(tail, 0);
             Ok(bytes)
         };
         Ok(DiskImage {
--- a/crates/toolroom/src/options.rs
+++ b/crates/toolroom/src/options.rs
@@ -101,6 +101,10 @@
     pub proxy: ProxyPolicy,
     /// How many threads carry its work.
     pub workers: usize,
+    /// How often a proxy asks its agent for news.
+    pub pull: Duration,
+    /// Requests' bodies up to this size are held whole, so that they can be sent again.
+    pub held_body: u64,
     /// How often its machine looks at the time.
     pub tick: Duration,
     /// For how long a proxy that was asked to stop still takes requests.
@@ -117,6 +121,8 @@
             core: CorePolicy::default(),
             proxy: ProxyPolicy::default(),
             workers: 2,
+            pull: Duration::from_millis(150),
+            held_body: 64 * 1024,
             tick: Duration::from_millis(25),
             // Why so long: directories' answers that name a proxy are good for two seconds.
             linger: Duration::from_millis(2600),
