--- a/crates/caperworks/src/facts.rs
+++ b/crates/caperworks/src/facts.rs
@@ -41,7 +41,7 @@
 
     /// The zone that a group's clients say they stand in.
     #[derive(Eq)]
-    struct GroupStand { 0 group: String, 1 area: Area }
+    struct GroupStand { 0 group: String, 1 zone: Area }
 
     struct Demand {
         0 group: String,
--- a/crates/caperworks/src/placement.rs
+++ b/crates/caperworks/src/placement.rs
@@ -303,7 +303,7 @@
             }
         }
         for stand in view.members.iter().flat_map(|member| &member.stands) {
-            self.stands.insert(stand.group.clone(), stand.area.clone());
+            self.stands.insert(stand.group.clone(), stand.zone.clone());
         }
         for (key, measured) in &mut self.measured {
             if !sums.contains_key(key) {
--- a/crates/cuesheet/src/machine.rs
+++ b/crates/cuesheet/src/machine.rs
@@ -118,7 +118,7 @@
                             .iter()
                             .map(|(group, area)| GroupStand {
                                 group: group.clone(),
-                                area: area.clone(),
+                                zone: area.clone(),
                             })
                             .collect(),
                     };
