Start the agents' patience anew with every gap in the core's answers

Cause: a link that lost patience with a silent ledger turned to another and set its patience back in the same tick, before it was asked whether the core had been silent. So the gap was never seen, and agents of proxies that serve on took every instance out one span after the core fell silent. Two new stories failed on it: instances expired with a silent core, and with one that answers without a majority.

Now turning to another ledger ends the time for which ledgers have answered without a gap. The stories also cover instances that say they are gone: no late beat brings them back, nor a ledger that has not heard of it.

--- a/crates/caperworks/src/link.rs
+++ b/crates/caperworks/src/link.rs
@@ -80,6 +80,8 @@
         self.ledger = candidates[next];
         self.answered_at = now;
         self.renew_at = now;
+        // Why here: another one's patience begins anew, and would hide that there was a gap.
+        self.assured_since = None;
     }
 
     /// Takes out the instances that have not been heard of; none while no ledger could tell of them.
--- /dev/null
+++ b/crates/mentor/tests/agent_stories.rs
@@ -0,0 +1,245 @@
+//! Stories of agents whose proxies serve on, and of instances that said they are gone.
+
+use mentor::prelude::*;
+
+fn millis(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn beat(id: &str, counter: u64) -> Beat {
+    Beat {
+        id: InstanceId::new(id),
+        incarnation: Incarnation(0),
+        counter,
+        pool: PoolName::new("records"),
+        area: Area::new("e1"),
+        address: address(8000 + (steady_hash(id) % 1000) as u16),
+        capacity: 4,
+        state: InstanceState::Serving,
+        load: 0,
+        up: Duration::MAX,
+        holding: Vec::new(),
+        let_go: Vec::new(),
+        cold_left: Duration::ZERO,
+    }
+}
+
+/// What the ledgers do that the agent asks.
+#[derive(Clone, Copy, PartialEq)]
+enum Core {
+    Answers,
+    /// It answers, and no majority is behind it.
+    Alone,
+    Silent,
+}
+
+/// An agent, and a ledger that is played by hand.
+struct Bench {
+    machine: MentorMachine,
+    heard: BTreeMap<String, (Duration, u64)>,
+    ended: Vec<InstanceId>,
+    gone: Vec<(Duration, String)>,
+}
+
+const SPAN: Duration = Duration::from_millis(4000);
+
+impl Bench {
+    fn new(proxy_serves_on: bool) -> Self {
+        let options = MentorOptions {
+            control: address(6500),
+            area: Area::new("e1"),
+            seeds: vec![address(6000), address(6001)],
+            proxy_serves_on,
+            instance_span: SPAN,
+        };
+        Self {
+            machine: MentorMachine::start(options, 1),
+            heard: BTreeMap::new(),
+            ended: Vec::new(),
+            gone: Vec::new(),
+        }
+    }
+
+    fn says(&mut self, now: Duration, message: Message) -> Vec<MentorOutput> {
+        let envelope = Envelope {
+            from: NodeId(1),
+            reply_to: address(6000),
+            message,
+            stamp: None,
+            echo: None,
+        };
+        self.machine.input(now, MentorInput::Heard { envelope })
+    }
+
+    fn ticks(&mut self, now: Duration, core: Core) {
+        let mut outputs = self.machine.input(now, MentorInput::Tick);
+        let renewals: Vec<u64> = outputs
+            .iter()
+            .filter_map(|output| match output {
+                MentorOutput::Send {
+                    message: Message::Renew { renewal },
+                    ..
+                } => Some(renewal.number),
+                _ => None,
+            })
+            .collect();
+        for number in renewals.into_iter().filter(|_| core != Core::Silent) {
+            let instances = self.heard.iter().map(|(id, (at, counter))| HeardBeat {
+                beat: beat(id, *counter),
+                age: now.saturating_sub(*at),
+            });
+            let granted = Granted {
+                number,
+                round_age: Duration::ZERO,
+                editions: vec![Edition(0); ALL_BOOKS.len()],
+                instances: instances.collect(),
+                instances_place: 0,
+                members: Vec::new(),
+                members_place: 0,
+                news: Vec::new(),
+                assured: core == Core::Answers,
+                gone: self.ended.clone(),
+            };
+            outputs.extend(self.says(now, Message::Grant { granted }));
+        }
+        for output in outputs {
+            if let MentorOutput::Note {
+                event: MentorEvent::InstanceGone { id },
+            } = output
+            {
+                self.gone.push((now, id.to_string()));
+            }
+        }
+    }
+
+    /// The core hears these beat twice a second while time passes.
+    fn runs(&mut self, from: u64, to: u64, core: Core, beating: &[&str]) {
+        for step in (from..to).step_by(25) {
+            if step % 500 == 0 {
+                for name in beating {
+                    self.heard.insert((*name).to_string(), (millis(step), step));
+                }
+            }
+            self.ticks(millis(step), core);
+        }
+    }
+
+    fn known(&mut self, now: Duration) -> Vec<String> {
+        let pull = Pull {
+            number: now.as_millis() as u64,
+            standing: Edition(0),
+            tenure: Edition(0),
+            serving: address(6600),
+            ready: true,
+            capacity: 1,
+            demand: Vec::new(),
+            life: 1,
+            usage: Vec::new(),
+        };
+        let outputs = self.says(now, Message::Pull { pull });
+        let view = outputs.into_iter().find_map(|output| match output {
+            MentorOutput::Send {
+                message: Message::View { view },
+                ..
+            } => Some(view),
+            _ => None,
+        });
+        let view = view.expect("a proxy that asks is told");
+        let known = view.instances.iter();
+        known.map(|beat| beat.id.to_string()).collect()
+    }
+}
+
+#[test]
+fn given_a_core_out_of_reach_when_the_proxy_serves_on_then_no_instance_expires_however_long() {
+    for core in [Core::Silent, Core::Alone] {
+        let mut bench = Bench::new(true);
+        bench.runs(0, 6000, Core::Answers, &["one", "two"]);
+        assert_eq!(bench.known(millis(6000)), ["one", "two"]);
+        bench.runs(6000, 120_000, core, &[]);
+        assert_eq!(bench.gone, []);
+        assert_eq!(bench.known(millis(120_000)), ["one", "two"]);
+    }
+}
+
+#[test]
+fn given_a_core_out_of_reach_when_the_proxy_falls_silent_then_instances_expire_after_their_span() {
+    let mut bench = Bench::new(false);
+    bench.runs(0, 6000, Core::Answers, &["one"]);
+    bench.runs(6000, 20_000, Core::Silent, &[]);
+    let (at, _) = bench.gone[0];
+    assert!(at >= millis(5500) + SPAN && at <= millis(5500) + SPAN + millis(100));
+}
+
+#[test]
+fn given_a_core_that_is_back_when_a_whole_span_has_passed_then_the_silent_expire_and_no_sooner() {
+    let mut bench = Bench::new(true);
+    bench.runs(0, 6000, Core::Answers, &["one", "two"]);
+    bench.runs(6000, 40_000, Core::Silent, &[]);
+    bench.runs(40_000, 60_000, Core::Answers, &["two"]);
+    let names: Vec<&str> = bench.gone.iter().map(|(_, name)| name.as_str()).collect();
+    assert_eq!(names, ["one"]);
+    let (at, _) = bench.gone[0];
+    assert!(at >= millis(40_000) + SPAN, "gone already at {at:?}");
+    assert!(at <= millis(40_000) + SPAN + millis(1000), "gone at {at:?}");
+}
+
+#[test]
+fn given_a_core_that_comes_and_goes_when_it_never_answers_for_a_whole_span_then_nobody_expires() {
+    let mut bench = Bench::new(true);
+    bench.runs(0, 6000, Core::Answers, &["one"]);
+    for round in 0..20 {
+        let start = 6000 + round * 5000;
+        bench.runs(start, start + 2000, Core::Silent, &[]);
+        bench.runs(start + 2000, start + 5000, Core::Answers, &[]);
+    }
+    assert_eq!(bench.gone, []);
+}
+
+#[test]
+fn given_a_core_in_touch_when_an_instance_is_silent_then_it_expires_after_its_span() {
+    let mut bench = Bench::new(true);
+    bench.runs(0, 6000, Core::Answers, &["one", "two"]);
+    bench.runs(6000, 12_000, Core::Answers, &["two"]);
+    let (at, name) = bench.gone[0].clone();
+    assert_eq!((name.as_str(), bench.gone.len()), ("one", 1));
+    assert!(at >= millis(5500) + SPAN && at <= millis(5500) + SPAN + millis(500));
+}
+
+#[test]
+fn given_an_end_heard_by_a_grant_when_late_beats_come_to_the_agent_then_it_is_not_revived() {
+    let mut bench = Bench::new(true);
+    bench.runs(0, 2000, Core::Answers, &["one", "two"]);
+    bench.ended.push(InstanceId::new("one"));
+    bench.runs(2000, 3000, Core::Answers, &["two"]);
+    assert_eq!(bench.known(millis(3000)), ["two"]);
+    // Straight to the agent, with a stamp of its own: still not.
+    let send = |bench: &mut Bench, now: u64, echo: Option<Echo>| {
+        let input = MentorInput::Beat {
+            ticket: now,
+            beat: beat("one", 90_000 + now),
+            echo,
+        };
+        bench.machine.input(millis(now), input)
+    };
+    let outputs = send(&mut bench, 3000, None);
+    let stamp = outputs.iter().find_map(|output| match output {
+        MentorOutput::AnswerBeat {
+            answer: Some(dated),
+            ..
+        } => Some(dated.stamp),
+        _ => None,
+    });
+    let held = Duration::ZERO;
+    let echo = stamp.map(|stamp| Echo { stamp, held });
+    assert!(echo.is_some(), "it is asked to beat again");
+    send(&mut bench, 3010, echo);
+    assert_eq!(bench.known(millis(3020)), ["two"]);
+    bench.ended.clear();
+    bench.runs(3025, 9000, Core::Answers, &["one", "two"]);
+    assert_eq!(bench.known(millis(9000)), ["two"], "nor by a ledger's word");
+}
