Refuse two routes whose hosts differ in case alone

Cause: the check compared hosts as written, but requests are matched in lower case; of two such routes both were accepted and one hid the other without a word.

--- a/crates/caperworks/src/standing.rs
+++ b/crates/caperworks/src/standing.rs
@@ -174,7 +174,7 @@
         .areas()
         .map(|(_, order)| order.region.clone())
         .collect();
-    let mut matches: BTreeMap<(&str, &str), RuleName> = BTreeMap::new();
+    let mut matches: BTreeMap<(String, &str), RuleName> = BTreeMap::new();
     for (name, rule) in after.rules() {
         for pool_name in rule.pools() {
             check_pool_of(&name, rule, pool_name, pools.get(pool_name), &mut faults);
@@ -183,7 +183,9 @@
             let why = format!("no area lies in region {home}");
             faults.push(Fault::new(format!("rule/{name}.home"), why));
         }
-        if let Some(other) = matches.insert((&rule.host, &rule.path), name.clone()) {
+        // Why in lower case: so requests are matched, and one of the two would hide the other.
+        let host = rule.host.to_ascii_lowercase();
+        if let Some(other) = matches.insert((host, &rule.path), name.clone()) {
             let why = format!("has the same host and path as rule {other}");
             faults.push(Fault::new(format!("rule/{name}"), why));
         }
