--- a/crates/caperworks/tests/core_stories.rs
+++ b/crates/caperworks/tests/core_stories.rs
@@ -688,3 +688,187 @@
         let _ = minicbor::decode::<Envelope>(&garbled);
     }
 }
+
+/// A put under a version of the operators' own; nothing drops the item.
+fn versioned(name: &str, version: u64, cap: Option<u32>) -> Put {
+    let pool = |instance_cap| Pool {
+        instance_cap,
+        key_cap: 1,
+        cold_rate_milli: 1000,
+        ..Pool::default()
+    };
+    let text = format!("{name} {version}");
+    Put {
+        key: format!("pool/{name}"),
+        expected: None,
+        value: cap.map(|cap| Value::Pool { pool: pool(cap) }),
+        written: Some(Written { version, text }),
+    }
+}
+
+#[test]
+fn given_racing_calls_of_two_operators_when_both_are_accepted_then_each_item_is_at_its_highest() {
+    for swapped in [false, true] {
+        let mut council = Council::new(3, 0);
+        let left = vec![
+            versioned("a", 5, Some(5)),
+            versioned("b", 1, Some(1)),
+            versioned("c", 2, None),
+        ];
+        let right = vec![
+            versioned("a", 4, Some(4)),
+            versioned("b", 3, Some(3)),
+            versioned("c", 1, Some(1)),
+        ];
+        let (first, second) = if swapped { (2, 1) } else { (1, 2) };
+        council.propose(first, 10, change("left", left));
+        council.propose(second, 20, change("right", right));
+        for _ in 0..20 {
+            council.tick(1, 50);
+            council.tick(2, 50);
+        }
+        for ticket in [10, 20] {
+            let verdict = council.verdict(ticket);
+            assert!(matches!(verdict, Some(Verdict::Accepted(_))), "{verdict:?}");
+        }
+        for seat in council.seats.values() {
+            let book = seat.book(BookName::Standing);
+            let caps: Vec<(PoolName, u32)> = book
+                .pools()
+                .map(|(name, pool)| (name, pool.instance_cap))
+                .collect();
+            assert_eq!(caps, [(PoolName::new("a"), 5), (PoolName::new("b"), 3)]);
+            assert_eq!(book.items["pool/c"].value, Value::Dropped);
+        }
+    }
+}
+
+#[test]
+fn given_a_call_under_versions_when_it_is_sent_again_anywhere_then_it_is_answered_as_accepted() {
+    let mut council = Council::new(3, 0);
+    let first = change("call-1", vec![versioned("a", 5, Some(5))]);
+    council.propose(1, 1, first.clone());
+    council.tick(1, 50);
+    council.propose(1, 2, change("call-2", vec![versioned("a", 6, None)]));
+    council.tick(1, 50);
+    council.propose(2, 3, first.clone());
+    for _ in 0..10 {
+        council.tick(2, 50);
+    }
+    assert_eq!(council.verdict(3), Some(&Verdict::Repeat(Edition(1))));
+    let another_id = Change {
+        id: ChangeId::new("call-3"),
+        ..first
+    };
+    council.propose(3, 4, another_id);
+    for _ in 0..10 {
+        council.tick(3, 50);
+    }
+    let verdict = council.verdict(4);
+    assert!(matches!(verdict, Some(Verdict::Accepted(_))), "{verdict:?}");
+    let book = council.seats[&1].book(BookName::Standing);
+    assert_eq!(book.items["pool/a"].value, Value::Dropped, "still dropped");
+}
+
+#[test]
+fn given_a_call_with_two_faults_when_it_is_proposed_then_both_are_told_and_nothing_is_in_force() {
+    let mut council = Council::new(3, 0);
+    let dangling = |name: &str, path: &str| Put {
+        key: format!("rule/{name}"),
+        value: Some(Value::Rule {
+            rule: Rule {
+                host: "a.example".to_string(),
+                path: path.to_string(),
+                pool: PoolName::new("nowhere"),
+                deadline: millis(1000),
+                body_limit: 1,
+                ..Rule::default()
+            },
+        }),
+        ..versioned("", 1, None)
+    };
+    let puts = vec![
+        versioned("good", 1, Some(1)),
+        dangling("one", "/one"),
+        dangling("two", "two"),
+    ];
+    council.propose(1, 1, change("faulty", puts));
+    for _ in 0..10 {
+        council.tick(1, 50);
+    }
+    let Some(Verdict::Faulty(faults)) = council.verdict(1) else {
+        panic!("it was told {:?}", council.verdict(1));
+    };
+    let named: BTreeSet<&str> = faults.iter().map(|fault| fault.field.as_str()).collect();
+    let expected = ["rule/one.pool", "rule/two.path", "rule/two.pool"];
+    assert_eq!(named, BTreeSet::from(expected));
+    for seat in council.seats.values() {
+        assert_eq!(seat.book(BookName::Standing), &Book::empty());
+        assert_eq!(seat.copy(BookName::Standing).taken, None);
+    }
+}
+
+/// A council of three ledgers and two witnesses that asks for so many synced disks.
+fn council_of_disks(synced_ledgers: Option<usize>) -> Council {
+    let mut council = Council::new(3, 2);
+    for (number, proposer) in &mut council.proposers {
+        let options = ProposerOptions {
+            synced_ledgers,
+            ..ProposerOptions::default()
+        };
+        *proposer = Proposer::new(BookName::Standing, NodeId(*number), options);
+    }
+    council
+}
+
+#[test]
+fn given_one_synced_ledger_when_two_are_asked_for_then_no_wait_makes_it_a_yes() {
+    let ticks = 200;
+    let mut council = council_of_disks(Some(2));
+    council.down.extend([2, 3]);
+    council.propose(1, 10, change("one", vec![versioned("a", 1, Some(1))]));
+    for _ in 0..ticks {
+        council.tick(1, 50);
+    }
+    assert_eq!(council.verdict(10), Some(&Verdict::Unknown));
+    for seat in council.seats.values() {
+        assert_eq!(seat.book(BookName::Standing).edition, Edition(0));
+    }
+    // Where one will do in the end, the same majority of seats is a yes.
+    let mut council = council_of_disks(None);
+    council.down.extend([2, 3]);
+    council.propose(1, 10, change("one", vec![versioned("a", 1, Some(1))]));
+    for _ in 0..ticks {
+        council.tick(1, 50);
+    }
+    assert_eq!(council.verdict(10), Some(&Verdict::Accepted(Edition(1))));
+}
+
+#[test]
+fn given_a_change_that_waits_for_a_second_disk_when_it_comes_back_then_the_change_is_accepted() {
+    let mut council = council_of_disks(Some(2));
+    council.down.extend([2, 3]);
+    council.propose(1, 10, change("one", vec![versioned("a", 1, Some(1))]));
+    for _ in 0..20 {
+        council.tick(1, 50);
+    }
+    assert_eq!(council.verdict(10), None, "it waits");
+    council.down.remove(&3);
+    for _ in 0..20 {
+        council.tick(1, 50);
+    }
+    assert_eq!(council.verdict(10), Some(&Verdict::Accepted(Edition(1))));
+    let holds = |number: u64| council.seats[&number].book(BookName::Standing).edition;
+    assert_eq!((holds(1), holds(3)), (Edition(1), Edition(1)));
+}
+
+#[test]
+fn given_all_disks_are_asked_for_when_one_is_missing_then_two_are_no_yes() {
+    let mut council = council_of_disks(Some(3));
+    council.down.insert(3);
+    council.propose(1, 10, change("one", vec![versioned("a", 1, Some(1))]));
+    for _ in 0..200 {
+        council.tick(1, 50);
+    }
+    assert_eq!(council.verdict(10), Some(&Verdict::Unknown));
+}
--- /dev/null
+++ b/crates/caperworks/tests/range_stories.rs
@@ -0,0 +1,443 @@
+//! Stories of keys in ranges, handovers, releases, and how long a hold may bind.
+
+use caperworks::prelude::*;
+
+const POOL: &str = "evidence";
+
+fn seconds(number: u64) -> Duration {
+    Duration::from_secs(number)
+}
+
+fn millis(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+fn range_pool(slices: u32) -> Pool {
+    Pool {
+        keyed: true,
+        slices,
+        key_space: KeySpace::Ranges,
+        ..Pool::default()
+    }
+}
+
+#[test]
+fn given_every_key_when_its_slice_is_asked_then_exactly_the_slice_whose_range_holds_it() {
+    for slices in [1, 2, 3, 7, 64, 100, 1000, 1024] {
+        let pool = range_pool(slices);
+        let mut next = 0;
+        for slice in 0..slices {
+            let (first, last) = pool.key_range(slice);
+            assert_eq!(first, next, "slice {slice} of {slices}: no gap, no overlap");
+            assert!(last >= first, "slice {slice} of {slices} has keys");
+            for key in first..=last {
+                assert_eq!(pool.slice(&key.to_string()), Some(slice), "{key}");
+            }
+            next = last + 1;
+        }
+        assert_eq!(u64::from(next), KEYS, "{slices} slices hold all keys");
+    }
+}
+
+#[test]
+fn given_what_is_no_key_when_its_slice_is_asked_then_it_has_none() {
+    let pool = range_pool(64);
+    for text in [
+        "",
+        " ",
+        "65536",
+        "-1",
+        "1.0",
+        "0x10",
+        "a",
+        "70000000000000000000",
+    ] {
+        assert_eq!(pool.slice(text), None, "{text:?}");
+    }
+}
+
+/// Instances on the operators' platform: no life's number, no epochs in what they let go of.
+struct Instance {
+    zone: &'static str,
+    state: InstanceState,
+    counter: u64,
+    holding: BTreeSet<u32>,
+    /// When it was last told to hold, by slice, and the handover it got.
+    told: BTreeMap<u32, (Duration, Option<String>)>,
+    /// Told in each beat until the slice is its own again.
+    let_go: BTreeMap<u32, String>,
+    /// Whether it lets go of what it is told to.
+    obeys: bool,
+}
+
+struct Bench {
+    keeper: Keeper,
+    instances: Instances,
+    tenure: Book,
+    pool: Pool,
+    closed: BTreeSet<Area>,
+    changes: u32,
+    known: BTreeMap<String, Instance>,
+}
+
+impl Bench {
+    fn new(slices: u32) -> Self {
+        let mut keeper = Keeper::default();
+        keeper.take_up(Duration::ZERO);
+        Self {
+            keeper,
+            instances: Instances::default(),
+            tenure: Book::empty(),
+            pool: range_pool(slices),
+            closed: BTreeSet::new(),
+            changes: 0,
+            known: BTreeMap::new(),
+        }
+    }
+
+    fn instance(&mut self, name: &str) -> &mut Instance {
+        self.known.entry(name.to_string()).or_insert(Instance {
+            zone: "east-1",
+            state: InstanceState::Serving,
+            counter: 0,
+            holding: BTreeSet::new(),
+            told: BTreeMap::new(),
+            let_go: BTreeMap::new(),
+            obeys: true,
+        })
+    }
+
+    fn beat_of(&mut self, name: &str) -> Beat {
+        let port = 7000 + (steady_hash(name) % 1000) as u16;
+        let instance = self.instance(name);
+        instance.counter += 1;
+        Beat {
+            id: InstanceId::new(name),
+            incarnation: Incarnation(0),
+            counter: instance.counter,
+            pool: PoolName::new(POOL),
+            area: Area::new(instance.zone),
+            address: SocketAddr::from(([127, 0, 0, 1], port)),
+            capacity: 10,
+            state: instance.state,
+            load: 0,
+            up: Duration::MAX,
+            holding: instance.holding.iter().copied().collect(),
+            let_go: instance
+                .let_go
+                .iter()
+                .map(|(slice, handover)| LetGo {
+                    slice: *slice,
+                    epoch: None,
+                    handover: Some(handover.clone()),
+                })
+                .collect(),
+            cold_left: Duration::ZERO,
+        }
+    }
+
+    /// The beat comes to the keeper; its answer is not taken in.
+    fn hears(&mut self, now: Duration, beat: &Beat) -> BeatAnswer {
+        let heard = HeardBeat {
+            beat: beat.clone(),
+            age: Duration::ZERO,
+        };
+        self.instances.hear(now, &heard);
+        self.keeper.beat(now, beat, &self.tenure)
+    }
+
+    fn beats(&mut self, now: Duration, name: &str) -> BeatAnswer {
+        let beat = self.beat_of(name);
+        let answer = self.hears(now, &beat);
+        let instance = self.instance(name);
+        let named: BTreeSet<u32> = answer.holds.iter().map(|hold| hold.slice).collect();
+        for hold in &answer.holds {
+            instance.let_go.remove(&hold.slice);
+            instance
+                .told
+                .insert(hold.slice, (now, hold.handover.clone()));
+        }
+        if instance.obeys {
+            // Why so: the keeper itself answered, and what it does not name is not to be held.
+            for slice in instance.holding.difference(&named) {
+                let handover = format!("from {name} of {slice}");
+                instance.let_go.insert(*slice, handover);
+            }
+            instance.holding = named;
+        } else {
+            instance.holding.extend(named);
+        }
+        answer
+    }
+
+    fn plans(&mut self, now: Duration) -> usize {
+        self.instances.expire(now);
+        let name = PoolName::new(POOL);
+        let view = TenureView {
+            instances: &self.instances,
+            closed: &self.closed,
+            tenure: &self.tenure,
+        };
+        let planned = self.keeper.plan(now, Epoch(1), &name, &self.pool, &view);
+        let Some(table) = planned else {
+            return 0;
+        };
+        let before = self.owners();
+        self.changes += 1;
+        let put = Put {
+            key: format!("slices/{name}"),
+            expected: None,
+            value: Some(Value::Slices { table }),
+            written: None,
+        };
+        self.tenure.apply(&Change {
+            id: ChangeId::new(format!("plan-{}", self.changes)),
+            puts: vec![put],
+            guards: Vec::new(),
+        });
+        let owners = self.owners();
+        (0..owners.len())
+            .filter(|slice| before.get(*slice) != owners.get(*slice))
+            .count()
+    }
+
+    fn owners(&self) -> Vec<Option<SliceOwner>> {
+        let table = self.tenure.slices(&PoolName::new(POOL));
+        table.map(|table| table.owners.clone()).unwrap_or_default()
+    }
+
+    fn owner(&self, slice: usize) -> String {
+        let owner = self.owners()[slice].clone();
+        owner.map_or_else(String::new, |owner| owner.instance.to_string())
+    }
+
+    /// All beat and the keeper plans, twice a second; says whether all is quiet in the end.
+    fn runs(&mut self, from: Duration, names: &[&str], steps: u64) -> bool {
+        let mut moved = 0;
+        for step in 0..steps {
+            let now = from + millis(500 * step);
+            for name in names {
+                self.beats(now, name);
+            }
+            moved = self.plans(now);
+            self.nobody_shares(now);
+        }
+        moved == 0
+    }
+
+    /// No slice is held by two at once.
+    fn nobody_shares(&self, now: Duration) {
+        let mut held: BTreeMap<u32, &str> = BTreeMap::new();
+        for (name, instance) in &self.known {
+            for slice in &instance.holding {
+                let (told, _) = instance.told[slice];
+                if now < told + HOLD_SPAN {
+                    let other = held.insert(*slice, name);
+                    assert_eq!(other, None, "{name} shares slice {slice} at {now:?}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn given_an_owner_that_lets_go_when_another_takes_over_then_it_gets_the_handover_and_a_new_fence() {
+    let mut bench = Bench::new(16);
+    bench.runs(seconds(1), &["a"], 2);
+    assert!(bench
+        .owners()
+        .iter()
+        .flatten()
+        .all(|owner| owner.instance.as_str() == "a"));
+    let before = bench.owners();
+    assert!(bench.runs(seconds(3), &["a", "b"], 40), "it comes to rest");
+    let moved: Vec<usize> = (0..16).filter(|slice| bench.owner(*slice) == "b").collect();
+    assert!(moved.len() >= 4, "only {moved:?} moved");
+    for slice in moved {
+        let owner = bench.owners()[slice].clone().expect("it has an owner");
+        let first = before[slice].clone().expect("it had one");
+        assert!(owner.epoch > first.epoch, "the fence grows");
+        let expected = Some(format!("from a of {slice}"));
+        assert_eq!(owner.handover, expected);
+    }
+    // The handover is told as long as the slice is not held, and then no more.
+    let mut beat = bench.beat_of("b");
+    beat.holding.clear();
+    let answer = bench.hears(seconds(23), &beat);
+    assert!(answer.holds.iter().all(|hold| hold.handover.is_some()));
+    let answer = bench.beats(seconds(24), "b");
+    assert!(answer.holds.iter().all(|hold| hold.handover.is_none()));
+}
+
+#[test]
+fn given_a_slice_that_goes_on_twice_when_the_second_owner_hands_on_then_its_word_counts() {
+    let mut bench = Bench::new(1);
+    bench.runs(seconds(1), &["a"], 2);
+    bench.instance("a").state = InstanceState::Leaving;
+    assert!(bench.runs(seconds(3), &["a", "b"], 10));
+    assert_eq!(bench.owner(0), "b");
+    bench.instance("b").state = InstanceState::Leaving;
+    bench.known.remove("a");
+    assert!(bench.runs(seconds(9), &["b", "c"], 10));
+    let owner = bench.owners()[0].clone().expect("it has an owner");
+    assert_eq!(owner.instance.as_str(), "c");
+    assert_eq!(owner.handover.as_deref(), Some("from b of 0"));
+}
+
+#[test]
+fn given_an_owner_that_leaves_when_others_are_there_then_all_of_its_slices_move_soon() {
+    let mut bench = Bench::new(64);
+    bench.runs(seconds(1), &["a", "b", "c"], 10);
+    let count = |bench: &Bench| (0..64).filter(|slice| bench.owner(*slice) == "a").count();
+    assert!(count(&bench) > 0);
+    bench.instance("a").state = InstanceState::Leaving;
+    bench.runs(seconds(6), &["a", "b", "c"], 5);
+    assert_eq!(count(&bench), 0, "two and a half seconds later");
+    assert!((0..64).all(|slice| !bench.owner(slice).is_empty()));
+}
+
+#[test]
+fn given_a_closed_zone_when_its_owners_slices_move_then_they_go_to_other_zones() {
+    let mut bench = Bench::new(16);
+    bench.instance("a").zone = "west-1";
+    bench.runs(seconds(1), &["a", "b"], 10);
+    bench.closed.insert(Area::new("west-1"));
+    bench.runs(seconds(6), &["a", "b"], 8);
+    assert!((0..16).all(|slice| bench.owner(slice) == "b"));
+}
+
+#[test]
+fn given_a_beat_older_than_the_release_when_it_comes_late_then_it_does_not_count_as_letting_go() {
+    let mut bench = Bench::new(1);
+    bench.instance("a").obeys = false;
+    bench.runs(seconds(1), &["a"], 2);
+    // A beat that speaks of an earlier time: it let go of the slice then, and holds nothing.
+    let mut late = bench.beat_of("a");
+    late.holding.clear();
+    late.let_go = vec![LetGo {
+        slice: 0,
+        epoch: None,
+        handover: Some("of an earlier time".to_string()),
+    }];
+    bench.instance("a").state = InstanceState::Leaving;
+    for step in 0..8 {
+        let now = seconds(2) + millis(500 * step);
+        bench.beats(now, "a");
+        bench.beats(now, "b");
+        bench.plans(now);
+        if step == 3 {
+            let answer = bench.hears(now, &late);
+            assert_eq!(answer.release.len(), 1, "it is to let go");
+        }
+        assert_eq!(bench.owner(0), "a", "it still holds at {now:?}");
+    }
+    bench.instance("a").obeys = true;
+    bench.runs(seconds(6), &["a", "b"], 3);
+    assert_eq!(bench.owner(0), "b", "its own later word counts");
+}
+
+#[test]
+fn given_the_very_beat_that_is_told_to_let_go_when_it_names_the_slice_then_that_is_too_early() {
+    let mut bench = Bench::new(1);
+    bench.runs(seconds(1), &["a"], 2);
+    bench.instance("a").state = InstanceState::Leaving;
+    bench.runs(seconds(2), &["b"], 1);
+    let mut beat = bench.beat_of("a");
+    beat.holding.clear();
+    beat.let_go = vec![LetGo {
+        slice: 0,
+        epoch: None,
+        handover: None,
+    }];
+    bench.hears(seconds(2), &beat);
+    bench.plans(seconds(2));
+    // Told in the answer to this one; only one after it can speak of it.
+    let answer = bench.hears(seconds(3), &beat);
+    assert_eq!(answer.release.len(), 1);
+    bench.plans(seconds(3));
+    assert_eq!(bench.owner(0), "a");
+    beat.counter += 1;
+    bench.hears(seconds(3), &beat);
+    bench.plans(seconds(3));
+    assert_eq!(bench.owner(0), "b");
+}
+
+#[test]
+fn given_a_silent_owner_when_its_hold_with_the_clocks_drift_has_passed_then_its_slices_move() {
+    let spans = KeeperSpans {
+        hold: millis(4000),
+        drift: millis(300),
+        wait: millis(9000),
+        uptake: millis(2000),
+    };
+    let mut bench = Bench::new(4);
+    bench.keeper.spans = spans;
+    bench.runs(seconds(1), &["a"], 30);
+    let last = seconds(16);
+    let answer = bench.beats(last, "a");
+    assert_eq!(answer.holds.len(), 4);
+    assert!(answer.holds.iter().all(|hold| hold.left == spans.hold));
+    for step in 1..100 {
+        let now = last + millis(100 * step);
+        bench.beats(now, "b");
+        if bench.plans(now) > 0 {
+            assert!(now >= last + spans.hold + spans.drift, "moved at {now:?}");
+            assert!(now <= last + spans.hold + spans.drift + millis(200));
+            return;
+        }
+    }
+    panic!("the slices never moved");
+}
+
+#[test]
+fn given_a_new_keeper_when_an_owner_is_silent_then_it_waits_as_long_as_it_was_told_to() {
+    let mut bench = Bench::new(4);
+    bench.runs(seconds(1), &["a"], 3);
+    let wait = millis(5000);
+    bench.keeper = Keeper::default();
+    bench.keeper.spans.wait = wait;
+    bench.keeper.take_up(seconds(30));
+    for step in 0..100 {
+        let now = seconds(30) + millis(100 * step);
+        bench.beats(now, "b");
+        if bench.plans(now) > 0 {
+            assert!(now >= seconds(30) + wait, "moved at {now:?}");
+            return;
+        }
+    }
+    panic!("the slices never moved");
+}
+
+#[test]
+fn given_instances_that_come_and_go_when_many_days_pass_then_no_slice_is_held_by_two() {
+    let names = ["a", "b", "c", "d"];
+    for seed in 0..20 {
+        let mut chance = Chance::seeded(seed);
+        let mut bench = Bench::new(8);
+        let mut away = BTreeSet::new();
+        for step in 0..400 {
+            let now = seconds(1) + millis(250 * step);
+            if chance.below(20) == 0 {
+                let name = names[chance.below(4) as usize];
+                if !away.remove(name) {
+                    away.insert(name);
+                }
+            }
+            if chance.below(30) == 0 {
+                let name = names[chance.below(4) as usize];
+                let instance = bench.instance(name);
+                instance.state = match instance.state {
+                    InstanceState::Leaving => InstanceState::Serving,
+                    _ => InstanceState::Leaving,
+                };
+            }
+            for name in names {
+                if !away.contains(name) && chance.below(4) > 0 {
+                    bench.beats(now, name);
+                }
+            }
+            bench.plans(now);
+            bench.nobody_shares(now);
+        }
+    }
+}
