Take no beat that was overtaken for the one that was told to let go

Cause: what an instance without fences lets go of counts only in a beat after the one in whose answer it was asked to. The first beat after the request passed for that one, also when it came late: then a second late beat, of a time when the slice had been let go of before, counted as the owner's word. The slice went on to another while its owner held it. The new story failed on it, with a keeper of some time and with one that just took the duty up.

Now the keeper remembers the latest beat of an owner that is known of, and only that or a later one can be the beat that was told.

--- a/crates/caperworks/src/tenure.rs
+++ b/crates/caperworks/src/tenure.rs
@@ -87,6 +87,8 @@
     releasing: bool,
     spurned: bool,
     released: bool,
+    /// The latest beat of the owner that is known of.
+    latest_beat: u64,
     /// The beat in whose answer the owner was first told to let go.
     release_told: Option<u64>,
     /// What the owner handed on when it let go.
@@ -172,6 +174,7 @@
             let holding = beat.holding.contains(&slice);
             let watch = self.watch(&beat.pool, slice, owner.epoch);
             watch.taken_up |= holding;
+            watch.latest_beat = watch.latest_beat.max(beat.counter);
             if watch.releasing || watch.spurned {
                 // Why by its word for this very epoch: a beat that left before the slice was taken
                 // up does not hold it either, and it may come late.
@@ -191,7 +194,11 @@
                     let handover = given.and_then(|given| given.handover.clone());
                     watch.handover = handover.or(watch.handover.take());
                 }
-                watch.release_told.get_or_insert(beat.counter);
+                // Why only the latest: after one that was overtaken, another of before the release
+                // would pass for the owner's word that it let go.
+                if beat.counter == watch.latest_beat {
+                    watch.release_told.get_or_insert(beat.counter);
+                }
                 answer.release.push(HoldAnswer {
                     slice,
                     epoch: owner.epoch,
@@ -279,6 +286,10 @@
                     let watch = self.watch(name, slice as u32, owner.epoch);
                     if !watch.releasing && elsewhere && (!alive || moving < MOVES_AT_ONCE) {
                         watch.releasing = true;
+                        // Why here as well: a new keeper may know of beats that others heard.
+                        let known = instances.get(&owner.instance);
+                        let counter = known.map_or(0, |beat| beat.counter);
+                        watch.latest_beat = watch.latest_beat.max(counter);
                         moving += usize::from(alive);
                     }
                     let passed = now >= watch.until || hasty;
--- a/crates/caperworks/tests/range_stories.rs
+++ b/crates/caperworks/tests/range_stories.rs
@@ -336,6 +336,52 @@
     assert_eq!(bench.owner(0), "b", "its own later word counts");
 }
 
+#[test]
+fn given_several_beats_older_than_the_release_when_all_come_late_then_none_counts_as_letting_go() {
+    // Whether the keeper heard the owner itself, or took the duty up and heard of it by others.
+    for taken_up in [false, true] {
+        let mut bench = Bench::new(1);
+        bench.instance("a").obeys = false;
+        bench.runs(seconds(1), &["a"], 2);
+        // Beats of an earlier time, in which the slice had been let go of.
+        let earlier: Vec<Beat> = (0..3)
+            .map(|_| {
+                let mut beat = bench.beat_of("a");
+                beat.holding.clear();
+                beat.let_go = vec![LetGo {
+                    slice: 0,
+                    epoch: None,
+                    handover: None,
+                }];
+                beat
+            })
+            .collect();
+        bench.runs(seconds(2), &["a"], 2);
+        if taken_up {
+            bench.keeper = Keeper::default();
+            bench.keeper.take_up(seconds(3));
+        }
+        bench.instance("a").state = InstanceState::Leaving;
+        let beat = bench.beat_of("a");
+        let heard = HeardBeat {
+            beat,
+            age: Duration::ZERO,
+        };
+        bench.instances.hear(seconds(3), &heard);
+        bench.beats(seconds(3), "b");
+        bench.plans(seconds(3));
+        for beat in &earlier {
+            let answer = bench.hears(seconds(3), beat);
+            assert_eq!(answer.release.len(), 1, "it is asked to let go");
+            bench.plans(seconds(3));
+            assert_eq!(bench.owner(0), "a", "it holds the slice");
+        }
+        bench.instance("a").obeys = true;
+        bench.runs(seconds(4), &["a", "b"], 4);
+        assert_eq!(bench.owner(0), "b", "its own later word counts");
+    }
+}
+
 #[test]
 fn given_the_very_beat_that_is_told_to_let_go_when_it_names_the_slice_then_that_is_too_early() {
     let mut bench = Bench::new(1);
