--- a/crates/caperworks/tests/policy_stories.rs
+++ b/crates/caperworks/tests/policy_stories.rs
@@ -513,7 +513,7 @@
 fn given_an_instance_that_could_not_be_reached_when_it_has_not_beaten_then_it_is_left_alone() {
     let mut bench = Bench::new(ProxyPolicy::default());
     let one = beat("one", "e1");
-    bench.told(Duration::ZERO, &[one.clone()]);
+    bench.told(Duration::ZERO, std::slice::from_ref(&one));
     let own = Area::new("e1");
     let mut shard = PoolShard::new(1);
     let choose = |shard: &mut PoolShard, bench: &Bench, now: Duration| {
