--- a/crates/caperworks/examples/tenure.rs
+++ b/crates/caperworks/examples/tenure.rs
@@ -44,7 +44,7 @@
         );
     }
     let mut keeper = Keeper::default();
-    keeper.take_up(Duration::ZERO);
+    keeper.take_up(Duration::ZERO, false);
     let mut tenure = Book::empty();
     let view = TenureView {
         instances: &instances,
--- a/crates/caperworks/src/dispatch.rs
+++ b/crates/caperworks/src/dispatch.rs
@@ -404,6 +404,8 @@
     /// Instances of areas that were taken back, with the last beat heard before: nobody knows yet
     /// whether they turned cold.
     pub doubtful: BTreeMap<InstanceId, u64>,
+    /// When owners of keys were first heard to leave.
+    pub leaving: BTreeMap<InstanceId, Duration>,
 }
 
 impl ProxyKnowledge {
@@ -452,6 +454,13 @@
                     .push(beat.clone());
             }
         }
+        let leaves = |beat: &Beat| beat.state == InstanceState::Leaving;
+        let instances = &self.instances;
+        self.leaving
+            .retain(|id, _| instances.get(id).is_some_and(leaves));
+        for beat in instances.values().filter(|beat| leaves(beat)) {
+            self.leaving.entry(beat.id.clone()).or_insert(asked_at);
+        }
         self.agent = view.agent;
         self.instances_place = view.instances_place;
         self.proxies = view.proxies.max(1);
@@ -487,6 +496,15 @@
         beat.is_cold(pool.warm_span) || self.doubtful.contains_key(&beat.id)
     }
 
+    /// Whether keys may still go to an owner, though it may be leaving.
+    fn owner_serves(&self, now: Duration, beat: &Beat) -> bool {
+        if beat.state != InstanceState::Leaving {
+            return true;
+        }
+        let since = self.leaving.get(&beat.id);
+        since.is_some_and(|since| now < *since + self.policy.leaving_owner)
+    }
+
     /// Whether what is known here may be acted on.
     pub fn is_usable(&self, now: Duration) -> bool {
         let known = self.books.book(BookName::Standing).edition > Edition(0);
@@ -530,7 +548,8 @@
         let lives = self.instances.get(&target.instance).is_some_and(|beat| {
             beat.incarnation == target.incarnation
                 && beat.address == target.address
-                && beat.state != InstanceState::Leaving
+                && (beat.state != InstanceState::Leaving
+                    || (target.slice.is_some() && self.owner_serves(now, beat)))
         });
         if !lives || self.closed.contains(&target.area) {
             return Err(Mishap::NoInstance);
@@ -836,7 +855,7 @@
             .instances
             .get(&owner.instance)
             .filter(|beat| beat.incarnation == owner.incarnation)
-            .filter(|beat| beat.state != InstanceState::Leaving)
+            .filter(|beat| knowledge.owner_serves(now, beat))
             .filter(|beat| !knowledge.closed.contains(&beat.area))
             .filter(|beat| rule.is_at_home(knowledge.regions.get(&beat.area)))
             // Why not again: an owner that says it does not hold the slice will not hold it in the
--- a/crates/caperworks/src/facts.rs
+++ b/crates/caperworks/src/facts.rs
@@ -257,6 +257,12 @@
         true
     }
 
+    /// How long ago an instance said that it ended; zero if it did not.
+    pub fn ended_for(&self, now: Duration, id: &InstanceId) -> Duration {
+        let ended = self.ended.get(id);
+        ended.map_or(Duration::ZERO, |kept| now.saturating_sub(kept.heard_at))
+    }
+
     /// Those that ended, as learned after a place.
     pub fn ended_after(&self, now: Duration, place: u64) -> Vec<InstanceId> {
         self.ended
--- a/crates/caperworks/src/policy.rs
+++ b/crates/caperworks/src/policy.rs
@@ -67,4 +67,6 @@
     pub closed_zone_carries: bool,
     /// A proxy outside a route's home regions may take its requests from callers and send them home.
     pub carries_home: bool,
+    /// For how long keys still go to an owner that is leaving, until another has them.
+    pub leaving_owner: Duration,
 }
--- a/crates/caperworks/src/tenure.rs
+++ b/crates/caperworks/src/tenure.rs
@@ -10,6 +10,8 @@
 /// The longest that a hold of the keeper before may still live after a takeover: it may have gone
 /// on granting until its own permit ended.
 pub const KEEPER_WAIT: Duration = Duration::from_millis(9000);
+/// How long after an instance said that it ends it has surely ended.
+const ENDED_SURELY: Duration = Duration::from_millis(500);
 /// How many slices may be on the move at once, per pool, when no owner was lost.
 pub const MOVES_AT_ONCE: usize = 4;
 /// An owner that does not take up a slice for this long is not offered it again.
@@ -24,6 +26,8 @@
     pub drift: Duration,
     /// How long a new keeper waits before it moves what the one before may have granted.
     pub wait: Duration,
+    /// How long one waits that had the duty in its own former life, which is surely over.
+    pub wait_after_own: Duration,
     /// How long an owner may leave a slice that it was offered.
     pub uptake: Duration,
 }
@@ -34,6 +38,7 @@
             hold: HOLD_SPAN,
             drift: Duration::ZERO,
             wait: KEEPER_WAIT,
+            wait_after_own: KEEPER_WAIT,
             uptake: UPTAKE_SPAN,
         }
     }
@@ -62,6 +67,8 @@
         2 by_keeper: bool,
         /// The control address of the keeper, as far as it is known.
         3 keeper: Option<SocketAddr>,
+        /// The highest epoch of the pool, which fences all that is held of it.
+        4 fence: Epoch,
     }
 
     /// The answer as the instance gets it from whoever it beats at: with a stamp to give back with
@@ -87,6 +94,8 @@
     releasing: bool,
     spurned: bool,
     released: bool,
+    /// The latest beat of the owner that is known of.
+    latest_beat: u64,
     /// The beat in whose answer the owner was first told to let go.
     release_told: Option<u64>,
     /// What the owner handed on when it let go.
@@ -105,7 +114,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Keeper {
     watches: BTreeMap<(PoolName, u32), SliceWatch>,
-    held_since: Duration,
+    /// Until when what keepers before us granted may live.
+    granted_until: Duration,
     pub spans: KeeperSpans,
     /// Only for proving the observers: moves slices without waiting out a hold.
     pub hasty: bool,
@@ -124,14 +134,19 @@
 }
 
 impl Keeper {
-    /// Starts a term. Holds given by the keeper before may live until `now + KEEPER_WAIT`.
-    pub fn take_up(&mut self, now: Duration) {
+    /// Starts a term. Holds given by the keeper before may live until its wait is over; a shorter one
+    /// is enough after our own former life.
+    pub fn take_up(&mut self, now: Duration, after_own: bool) {
         self.watches.clear();
-        self.held_since = now;
+        let wait = match after_own {
+            true => self.spans.wait_after_own,
+            false => self.spans.wait,
+        };
+        self.granted_until = now + wait;
     }
 
     fn watch(&mut self, pool: &PoolName, slice: u32, epoch: Epoch) -> &mut SliceWatch {
-        let bound = self.held_since + self.spans.wait;
+        let bound = self.granted_until;
         let watch = self
             .watches
             .entry((pool.clone(), slice))
@@ -161,6 +176,7 @@
         let Some(table) = tenure.slices(&beat.pool) else {
             return answer;
         };
+        answer.fence = table.epoch;
         for (slice, owner) in table.owners.iter().enumerate() {
             let slice = slice as u32;
             let Some(owner) = owner
@@ -172,6 +188,7 @@
             let holding = beat.holding.contains(&slice);
             let watch = self.watch(&beat.pool, slice, owner.epoch);
             watch.taken_up |= holding;
+            watch.latest_beat = watch.latest_beat.max(beat.counter);
             if watch.releasing || watch.spurned {
                 // Why by its word for this very epoch: a beat that left before the slice was taken
                 // up does not hold it either, and it may come late.
@@ -191,7 +208,11 @@
                     let handover = given.and_then(|given| given.handover.clone());
                     watch.handover = handover.or(watch.handover.take());
                 }
-                watch.release_told.get_or_insert(beat.counter);
+                // Why only the latest: after one that was overtaken, another of before the release
+                // would pass for the owner's word that it let go.
+                if beat.counter == watch.latest_beat {
+                    watch.release_told.get_or_insert(beat.counter);
+                }
                 answer.release.push(HoldAnswer {
                     slice,
                     epoch: owner.epoch,
@@ -279,9 +300,15 @@
                     let watch = self.watch(name, slice as u32, owner.epoch);
                     if !watch.releasing && elsewhere && (!alive || moving < MOVES_AT_ONCE) {
                         watch.releasing = true;
+                        // Why here as well: a new keeper may know of beats that others heard.
+                        let known = instances.get(&owner.instance);
+                        let counter = known.map_or(0, |beat| beat.counter);
+                        watch.latest_beat = watch.latest_beat.max(counter);
                         moving += usize::from(alive);
                     }
-                    let passed = now >= watch.until || hasty;
+                    // Why not waited for: it said itself that it ended, and what ended holds nothing.
+                    let ended = instances.ended_for(now, &owner.instance) >= ENDED_SURELY;
+                    let passed = now >= watch.until || hasty || ended;
                     let held_by_none = watch.spurned && passed;
                     (watch.releasing && (watch.released || passed))
                         || held_by_none
--- a/crates/caperworks/tests/tenure_stories.rs
+++ b/crates/caperworks/tests/tenure_stories.rs
@@ -126,7 +126,7 @@
 fn given_cold_owners_when_one_is_warm_first_then_no_slice_moves_to_it() {
     let mut bench = Bench::new(64);
     let names: Vec<String> = (1..=8).map(|number| format!("evidence-{number}")).collect();
-    bench.keeper.take_up(seconds(0));
+    bench.keeper.take_up(seconds(0), false);
     for name in &names {
         bench.beats(seconds(1), name, seconds(1));
     }
@@ -155,7 +155,7 @@
 #[test]
 fn given_a_slice_let_go_when_its_target_is_the_old_owner_again_then_it_comes_back_to_work() {
     let mut bench = Bench::new(1);
-    bench.keeper.take_up(seconds(0));
+    bench.keeper.take_up(seconds(0), false);
     bench.beats(seconds(1), "evidence-1", seconds(10));
     bench.plans(seconds(1));
     bench.beats(seconds(2), "evidence-1", seconds(11));
@@ -182,7 +182,7 @@
 #[test]
 fn given_an_owner_that_fell_silent_when_its_hold_may_live_then_its_slices_stay() {
     let mut bench = Bench::new(4);
-    bench.keeper.take_up(seconds(0));
+    bench.keeper.take_up(seconds(0), false);
     bench.beats(seconds(1), "evidence-1", seconds(10));
     bench.plans(seconds(1));
     bench.beats(seconds(20), "evidence-1", seconds(30));
@@ -205,7 +205,7 @@
 #[test]
 fn given_an_owner_asked_to_let_go_when_work_is_under_way_then_the_slice_waits_for_it() {
     let mut bench = Bench::new(1);
-    bench.keeper.take_up(seconds(0));
+    bench.keeper.take_up(seconds(0), false);
     bench.beats(seconds(1), "evidence-1", seconds(10));
     bench.plans(seconds(1));
     bench.beats(seconds(2), "evidence-1", seconds(11));
@@ -247,11 +247,11 @@
 #[test]
 fn given_a_new_keeper_when_the_one_before_may_have_granted_then_nothing_moves_for_its_span() {
     let mut bench = Bench::new(4);
-    bench.keeper.take_up(seconds(0));
+    bench.keeper.take_up(seconds(0), false);
     bench.beats(seconds(1), "evidence-1", seconds(10));
     bench.plans(seconds(1));
     bench.keeper = Keeper::default();
-    bench.keeper.take_up(seconds(30));
+    bench.keeper.take_up(seconds(30), false);
     for tenth in 0..88 {
         let now = seconds(30) + Duration::from_millis(100 * tenth);
         bench.beats(now, "evidence-2", seconds(40) + now);
--- a/crates/ledger/src/blackboard.rs
+++ b/crates/ledger/src/blackboard.rs
@@ -181,6 +181,8 @@
     pub keeper: Keeper,
     pub keeper_epoch: Option<Epoch>,
     pub keeper_since: Duration,
+    /// The term under which our former life kept the tenure, as the disk tells.
+    pub former_term: Option<Epoch>,
     pub plan_at: Duration,
     /// What each node last said that it holds.
     pub heard_editions: BTreeMap<NodeId, Vec<Edition>>,
--- a/crates/ledger/src/duties.rs
+++ b/crates/ledger/src/duties.rs
@@ -154,7 +154,8 @@
         board.keeper_epoch = Some(epoch);
         board.keeper_since = board.now;
         board.keeper.spans = board.options.core.keeper;
-        board.keeper.take_up(board.now);
+        let after_own = board.former_term == Some(epoch);
+        board.keeper.take_up(board.now, after_own);
         board.keeper.hasty = board.options.broken == Broken::HastyKeeper;
         board.keeper.takes_silence = board.options.broken == Broken::TakesSilence;
         board.keeper.generous = board.options.broken == Broken::GenerousKeeper;
--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine.rs
@@ -234,6 +234,7 @@
                 keeper: Keeper::default(),
                 keeper_epoch: None,
                 keeper_since: Duration::ZERO,
+                former_term: None,
                 plan_at: Duration::ZERO,
                 heard_editions: BTreeMap::new(),
                 lost_since: BTreeMap::new(),
@@ -248,6 +249,9 @@
         machine.board.instances.span = machine.board.options.core.instance_span;
         machine.board.members.refresh = machine.board.options.core.member_refresh;
         machine.board.instances.refresh = machine.board.options.core.beat_refresh;
+        let former = machine.board.book(BookName::Cohort).duty(TENURE).cloned();
+        let former = former.filter(|term| term.holder == machine.board.node);
+        machine.board.former_term = former.map(|term| term.epoch);
         for event in events {
             machine.board.note(event);
         }
@@ -456,6 +460,14 @@
         return BeatAnswer::default();
     };
     board.instances.hear(board.now, &heard);
+    // Why no answer of ours: it said that it ended, and a late beat must not prolong its holds.
+    if !board
+        .instances
+        .ended_for(board.now, &heard.beat.id)
+        .is_zero()
+    {
+        return BeatAnswer::default();
+    }
     duties::answer_beat(board, &heard.beat)
 }
 
@@ -599,7 +611,11 @@
         number: renewal.number,
         round_age,
         editions,
-        instances: board.instances.after(now, instances_after),
+        // Why none for directories: they name proxies only.
+        instances: match member.role {
+            Role::Proxy => board.instances.after(now, instances_after),
+            Role::Directory => Vec::new(),
+        },
         instances_place: board.instances.learned(),
         gone: board.instances.ended_after(now, instances_after),
         proxies,
