Measure what a fleet of hollow nodes and instances costs real core processes

Nobody could say what a fleet larger than one machine's processes costs the core. `workshop scale` runs real ledgers, agents, proxies and directories beside hollow agents and instances that speak the real protocol from one process, and reports processor, memory, disk, messages, bytes and the time from yes to the last node, as a table and as JSON. Sizes that do not fit the machine are refused with the number that would.

--- /dev/null
+++ b/crates/workshop/src/hollow.rs
@@ -0,0 +1,460 @@
+//! Hollow agents and instances: many in one process, without traffic, counted by the core as any.
+//!
+//! A hollow agent says what an agent with a ready proxy says, from a control port of its own, and
+//! keeps of the answers only the editions. A hollow instance beats over HTTP as instances do.
+
+use crate::prelude::*;
+
+/// How often an instance beats.
+const BEAT_PERIOD: Duration = Duration::from_millis(500);
+const BEAT_PATIENCE: Duration = Duration::from_millis(1200);
+/// A ledger that has not answered for this long is left for another, as real agents do.
+const LEDGER_PATIENCE: Duration = Duration::from_millis(800);
+/// How soon an agent asks again that lacks what its grant names.
+const BEHIND_PERIOD: Duration = Duration::from_millis(50);
+/// The books that a hollow agent follows: those of a real one.
+const FOLLOWED: [BookName; 3] = [BookName::Standing, BookName::Tenure, BookName::Cohort];
+/// How many answers may wait at one hollow agent.
+const MOST_WAITING: usize = 64;
+/// For how many rules each hollow proxy tells demand.
+const DEMANDS: u64 = 4;
+
+/// One ledger as the hollow ones reach it.
+#[derive(Debug, Clone, Copy)]
+pub struct LedgerPlace {
+    /// What it calls itself to others.
+    pub advertised: SocketAddr,
+    /// Where its control port is: what hollow ones send need not go by the relay to be counted.
+    pub listened: SocketAddr,
+    pub serving: SocketAddr,
+}
+
+/// What all hollow ones of a fleet share.
+pub struct HollowFleet {
+    pub clock: Clock,
+    pub ledgers: Vec<LedgerPlace>,
+    pub areas: Vec<String>,
+    pub pools: u32,
+    pub rules: u32,
+    /// How long the first words of all are spread over.
+    pub spread: Duration,
+    pub addresses: Addresses,
+    pub flows: Arc<Flows>,
+}
+
+impl HollowFleet {
+    fn area(&self, number: u32) -> Area {
+        Area::new(&self.areas[number as usize % self.areas.len()])
+    }
+}
+
+/// The loopback address of the hollow one with this number, in a network of its own kind.
+fn hollow_address(network: u8, number: u32, port: u16) -> SocketAddr {
+    let low = (number % 250 + 1) as u8;
+    let middle = (number / 250 % 250) as u8;
+    let high = network + (number / 62_500) as u8;
+    SocketAddr::from(([127, high, middle, low], port))
+}
+
+/// Since when each hollow agent has held which edition of the standing orders.
+pub type HeldSince = Arc<Mutex<Vec<(Edition, Duration)>>>;
+
+pub struct HollowAgent {
+    pub held_since: HeldSince,
+    restart: mpsc::Sender<Heard>,
+}
+
+impl HollowAgent {
+    /// Begins a new life at the same address: another node, that holds nothing.
+    pub fn restart(&self) {
+        // Why ignored: one that has so much to hear that it cannot be told is told next time.
+        let _ = self.restart.try_send(Heard::Restart);
+    }
+}
+
+enum Heard {
+    Envelope(Envelope),
+    Restart,
+}
+
+struct AgentLife {
+    number: u32,
+    fleet: Arc<HollowFleet>,
+    port: ControlPort,
+    control: SocketAddr,
+    node: NodeId,
+    post: Post,
+    counter: u64,
+    ledger: usize,
+    ledger_node: NodeId,
+    answered_at: Duration,
+    renew_at: Duration,
+    instances_place: u64,
+    members_place: u64,
+    editions: Vec<Edition>,
+    held_since: HeldSince,
+}
+
+pub async fn start_agent(
+    fleet: &Arc<HollowFleet>,
+    number: u32,
+    port: u16,
+) -> anyhow::Result<HollowAgent> {
+    let control = hollow_address(101, number, port);
+    let (sender, mut receiver) = mpsc::channel(MOST_WAITING);
+    let (flows, addresses) = (fleet.flows.clone(), fleet.addresses.clone());
+    let heard = sender.clone();
+    let opened = ControlPort::open(NodeId(0), control, control, move |envelope| {
+        if let Some(from) = addresses.get(&envelope.reply_to) {
+            flows.count(*from, Part::HollowAgent, frame_bytes(&envelope));
+        }
+        // Why dropped when full: a real agent's inbox turns away as well, and it asks again.
+        let _ = heard.try_send(Heard::Envelope(envelope));
+    })
+    .await?;
+    let held_since = HeldSince::default();
+    let mut life = AgentLife {
+        number,
+        fleet: fleet.clone(),
+        port: opened,
+        control,
+        node: NodeId(0),
+        post: Post::new(NodeId(0)),
+        counter: 0,
+        ledger: number as usize % fleet.ledgers.len(),
+        ledger_node: NodeId(0),
+        answered_at: Duration::ZERO,
+        renew_at: Duration::ZERO,
+        instances_place: 0,
+        members_place: 0,
+        editions: Vec::new(),
+        held_since: held_since.clone(),
+    };
+    life.begin_anew();
+    // Why spread: a fleet does not ask in one breath, and this one is to be as a fleet is.
+    life.renew_at += fleet.spread.mul_f64(f64::from(number % 1000) / 1000.0);
+    life.answered_at = life.renew_at;
+    tokio::spawn(async move {
+        loop {
+            let now = life.fleet.clock.now();
+            let until_due = life.renew_at.saturating_sub(now);
+            tokio::select! {
+                heard = receiver.recv() => match heard {
+                    Some(Heard::Envelope(envelope)) => life.hear(envelope),
+                    Some(Heard::Restart) => life.begin_anew(),
+                    None => return,
+                },
+                () = tokio::time::sleep(until_due) => life.renew(),
+            }
+        }
+    });
+    Ok(HollowAgent {
+        held_since,
+        restart: sender,
+    })
+}
+
+impl AgentLife {
+    fn begin_anew(&mut self) {
+        let now = self.fleet.clock.now();
+        self.node = NodeId(fresh_seed() >> 1);
+        self.post = Post::new(self.node);
+        self.counter = 0;
+        self.ledger_node = NodeId(0);
+        self.instances_place = 0;
+        self.members_place = 0;
+        self.editions = vec![Edition(0); ALL_BOOKS.len()];
+        self.answered_at = now;
+        self.renew_at = now;
+    }
+
+    /// What a hollow agent says of itself and of the proxy that it stands for.
+    fn member(&mut self) -> Member {
+        self.counter += 1;
+        let number = u64::from(self.number);
+        let demand = (0..DEMANDS.min(u64::from(self.fleet.rules)))
+            .map(|turn| Demand {
+                group: format!("10.{}.{}.0/24", number / 250 % 250, number % 250),
+                rule: rule_name((number * DEMANDS + turn) % u64::from(self.fleet.rules)),
+                orders: 40,
+                locality: Duration::from_millis(20),
+            })
+            .collect();
+        Member {
+            node: self.node,
+            counter: self.counter,
+            role: Role::Proxy,
+            area: self.fleet.area(self.number),
+            control: self.control,
+            serving: SocketAddr::new(self.control.ip(), self.control.port() + 1),
+            ready: true,
+            capacity: 200,
+            demand,
+            editions: self.editions.clone(),
+            leaving: false,
+        }
+    }
+
+    /// Sends a message to one of the ledgers, or to an agent that asked.
+    fn send(&self, to: SocketAddr, message: Message) {
+        let now = self.fleet.clock.now();
+        let envelope = self.post.seal(now, self.control, to, message);
+        let ledger = self
+            .fleet
+            .ledgers
+            .iter()
+            .find(|place| place.advertised == to);
+        // Why only to ledgers: what goes to others passes the relay, which counts it.
+        if ledger.is_some() {
+            let bytes = frame_bytes(&envelope);
+            self.fleet
+                .flows
+                .count(Part::HollowAgent, Part::Ledger, bytes);
+        }
+        self.port
+            .forward(ledger.map_or(to, |place| place.listened), &envelope);
+    }
+
+    fn renew(&mut self) {
+        let now = self.fleet.clock.now();
+        if now.saturating_sub(self.answered_at) >= LEDGER_PATIENCE {
+            self.ledger = (self.ledger + 1) % self.fleet.ledgers.len();
+            self.answered_at = now;
+        }
+        self.renew_at = now + RENEW_PERIOD;
+        let member = self.member();
+        let renewal = Renewal {
+            number: self.counter,
+            member,
+            ledger: self.ledger_node,
+            instances_after: self.instances_place,
+            members_after: self.members_place,
+            wants: FOLLOWED.to_vec(),
+        };
+        let to = self.fleet.ledgers[self.ledger].advertised;
+        self.send(to, Message::Renew { renewal });
+    }
+
+    fn hear(&mut self, envelope: Envelope) {
+        let now = self.fleet.clock.now();
+        self.post.open(now, &envelope);
+        match envelope.message {
+            // Why by number: an answer to a life before this one says nothing to this one.
+            Message::Grant { granted } if granted.number <= self.counter => {
+                self.granted(now, envelope.from, &granted);
+            }
+            Message::IslandAsk { ask } => {
+                // Why no word under any roster: hollow agents are to keep nobody fresh.
+                let tell = IslandTell {
+                    number: ask.number,
+                    editions: self.editions.clone(),
+                    news: Vec::new(),
+                    fit_under: None,
+                };
+                self.send(envelope.reply_to, Message::IslandTell { tell });
+            }
+            _ => {}
+        }
+    }
+
+    fn granted(&mut self, now: Duration, from: NodeId, granted: &Granted) {
+        self.ledger_node = from;
+        self.instances_place = granted.instances_place;
+        self.members_place = granted.members_place;
+        let before = self.editions.clone();
+        for news in &granted.news {
+            self.take(news);
+        }
+        let moved = |name: BookName| self.editions[name.index()] > before[name.index()];
+        if moved(BookName::Standing) {
+            let edition = self.editions[BookName::Standing.index()];
+            locked(&self.held_since).push((edition, now));
+        }
+        if ISLAND_BOOKS.into_iter().any(moved) {
+            // Why at once: as a real agent, for an operator waits for its word.
+            self.renew_at = now;
+        }
+        let holds = FOLLOWED.iter().all(|name| {
+            let named = granted.editions.get(name.index()).copied();
+            self.editions[name.index()] >= named.unwrap_or_default()
+        });
+        if granted.assured && holds {
+            self.answered_at = now;
+        } else if granted.assured {
+            self.renew_at = self.renew_at.min(now + BEHIND_PERIOD);
+        }
+    }
+
+    /// Moves an edition on as the book itself would move.
+    fn take(&mut self, news: &Vote) {
+        match news {
+            Vote::News { book, changes } => {
+                let held = &mut self.editions[book.index()];
+                for numbered in changes {
+                    if numbered.edition == held.next() {
+                        *held = numbered.edition;
+                    }
+                }
+            }
+            Vote::Whole { book, whole } => {
+                let held = &mut self.editions[book.index()];
+                *held = (*held).max(whole.edition);
+            }
+            _ => {}
+        }
+    }
+}
+
+pub fn rule_name(number: u64) -> RuleName {
+    RuleName::new(format!("rule-{number}"))
+}
+
+pub fn pool_name(number: u64) -> PoolName {
+    PoolName::new(format!("service-{number}"))
+}
+
+pub struct HollowInstance {
+    restart: Arc<AtomicBool>,
+}
+
+impl HollowInstance {
+    /// Begins a new life with the next beat.
+    pub fn restart(&self) {
+        self.restart.store(true, Ordering::SeqCst);
+    }
+}
+
+struct InstanceLife {
+    number: u32,
+    fleet: Arc<HollowFleet>,
+    address: SocketAddr,
+    incarnation: u64,
+    since: Duration,
+    counter: u64,
+    holdings: Holdings,
+    /// The last stamp of each ledger, and since when we have it.
+    stamps: HashMap<SocketAddr, (Stamp, Duration)>,
+}
+
+pub fn start_instance(fleet: &Arc<HollowFleet>, number: u32) -> HollowInstance {
+    let restart: Arc<AtomicBool> = Arc::default();
+    let asked = restart.clone();
+    let mut life = InstanceLife {
+        number,
+        fleet: fleet.clone(),
+        address: hollow_address(111, number, 9000),
+        incarnation: 1,
+        since: fleet.clock.now(),
+        counter: 0,
+        holdings: Holdings::default(),
+        stamps: HashMap::new(),
+    };
+    tokio::spawn(async move {
+        let first = life
+            .fleet
+            .spread
+            .mul_f64(f64::from(number * 7 % 1000) / 1000.0);
+        tokio::time::sleep(first).await;
+        let mut beat = tokio::time::interval(BEAT_PERIOD);
+        beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut place = number as usize % life.fleet.ledgers.len();
+        loop {
+            beat.tick().await;
+            if asked.swap(false, Ordering::SeqCst) {
+                life.incarnation += 1;
+                life.since = life.fleet.clock.now();
+                life.counter = 0;
+                life.holdings = Holdings::default();
+                life.stamps.clear();
+            }
+            for _ in 0..life.fleet.ledgers.len() {
+                if life.beat_until_dated(place).await {
+                    break;
+                }
+                place = (place + 1) % life.fleet.ledgers.len();
+            }
+        }
+    });
+    HollowInstance { restart }
+}
+
+impl InstanceLife {
+    /// What a hollow instance says of itself.
+    fn beat(&mut self) -> Beat {
+        self.counter += 1;
+        let now = self.fleet.clock.now();
+        Beat {
+            id: InstanceId::new(format!("hollow-{}", self.number)),
+            incarnation: Incarnation(self.incarnation),
+            counter: self.counter,
+            pool: pool_name(u64::from(self.number % self.fleet.pools)),
+            area: self.fleet.area(self.number / self.fleet.pools),
+            address: self.address,
+            capacity: 50,
+            state: InstanceState::Serving,
+            load: 0,
+            up: now.saturating_sub(self.since),
+            holding: self.holdings.holding(now),
+            let_go: self.holdings.let_go(),
+        }
+    }
+
+    /// Beats, and again at once if the ledger has no stamp of ours to date the beat by.
+    async fn beat_until_dated(&mut self, place: usize) -> bool {
+        match self.beat_once(place).await {
+            Some(true) => self.beat_once(place).await == Some(false),
+            once => once.is_some(),
+        }
+    }
+
+    async fn beat_once(&mut self, place: usize) -> Option<bool> {
+        let to = self.fleet.ledgers[place].serving;
+        let sent_at = self.fleet.clock.now();
+        let mut json = beats::write(&self.beat());
+        if let Some((stamp, since)) = self.stamps.get(&to) {
+            let held = sent_at.saturating_sub(*since);
+            json["stamp"] = beats::write_echo(&Echo {
+                stamp: *stamp,
+                held,
+            });
+        }
+        let body = json.dump();
+        let flows = &self.fleet.flows;
+        flows.count(
+            Part::HollowInstance,
+            Part::Ledger,
+            request_bytes("/beats", to, body.len()),
+        );
+        let fetched = Fetch::post(to, "/beats", body)
+            // Why from its own address: all of them together would run out of ports on one.
+            .from(self.address.ip())
+            .patience(BEAT_PATIENCE)
+            .send()
+            .await
+            .ok()?;
+        flows.count(Part::Ledger, Part::HollowInstance, response_bytes(&fetched));
+        if fetched.status != 200 {
+            return None;
+        }
+        let dated = beats::read_dated_answer(&fetched.json())?;
+        self.holdings.answered(sent_at, &dated.answer);
+        self.stamps
+            .insert(to, (dated.stamp, self.fleet.clock.now()));
+        Some(dated.again)
+    }
+}
+
+/// The bytes of a posted request, head and body, as our client writes them.
+pub fn request_bytes(path: &str, to: SocketAddr, body: usize) -> usize {
+    format!("POST {path} HTTP/1.1\r\nhost: {to}\r\ncontent-length: {body}\r\n\r\n").len() + body
+}
+
+/// The bytes of a response, head and body.
+pub fn response_bytes(fetched: &Fetched) -> usize {
+    let head: usize = fetched
+        .headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum();
+    "HTTP/1.1 200 OK\r\n\r\n".len() + head + fetched.body.len()
+}
--- a/crates/workshop/src/main.rs
+++ b/crates/workshop/src/main.rs
@@ -1,11 +1,17 @@
 //! `workshop`: a whole fleet on one machine, for trying things out and for doing it harm.
 
 mod drill;
+mod fit;
 mod fleet;
+mod flows;
+mod hollow;
 mod http_relay;
 mod prelude;
 mod probe;
 mod relay;
+mod scale;
+#[cfg(test)]
+mod scale_tests;
 
 use crate::prelude::*;
 
@@ -45,6 +51,7 @@
         pairs: Vec<String>,
         http: Vec<String>,
     },
+    Scale(ScaleOptions),
 }
 
 #[derive(Debug, Clone)]
@@ -153,12 +160,84 @@
     .to_options()
     .descr("Be the relay; started by up --relay")
     .command("relay");
+    let scale = scale_options()
+        .map(Command::Scale)
+        .to_options()
+        .descr("Measure what a fleet of hollow nodes and instances costs real core processes")
+        .command("scale");
     let command = construct!([
-        up, down, status, kill, stop, freeze, wake, start, judge, cut, join, drill, relay
+        up, down, status, kill, stop, freeze, wake, start, judge, cut, join, drill, relay, scale
     ]);
     construct!(Flags { run, command }).to_options().descr(HELP)
 }
 
+fn scale_options() -> impl Parser<ScaleOptions> {
+    let number = |name: &'static str, help: &'static str, usual: u32| {
+        long(name)
+            .help(help)
+            .argument::<u32>("NUMBER")
+            .fallback(usual)
+    };
+    let rate = |name: &'static str, help: &'static str, usual: f64| {
+        long(name)
+            .help(help)
+            .argument::<f64>("NUMBER")
+            .fallback(usual)
+    };
+    let nodes = number("nodes", "Hollow agents, each with its proxy (24)", 24);
+    let instances = number("instances", "Hollow instances (100)", 100);
+    let rules = number("rules", "Rules (100)", 100);
+    let pools = number("pools", "Pools, that is services (10)", 10);
+    let changes = rate("changes", "Configuration changes a second (1)", 1.0);
+    let restarts = rate(
+        "restarts",
+        "Restarts a minute, agents and instances in turn (6)",
+        6.0,
+    );
+    let seconds = long("seconds")
+        .help("How long is measured (8)")
+        .argument::<u64>("NUMBER")
+        .fallback(8);
+    let zones = number("zones", "Zones of the hollow ones, four to a region (4)", 4);
+    let agents = number("agents", "Real agents, each with a real proxy (3)", 3);
+    let directories = number("directories", "Real directories (2)", 2);
+    let threads = long("threads")
+        .help("Threads for all the hollow ones (2)")
+        .argument::<usize>("NUMBER")
+        .fallback(2);
+    let base = long("base-port")
+        .help("Ports are taken from here up")
+        .argument::<u16>("PORT")
+        .fallback(25000);
+    let json = long("json")
+        .help("File for the results")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let sweep = long("sweep")
+        .help("Four sizes of each of nodes, instances, rules and changes, and lines through them")
+        .switch();
+    let check = long("check")
+        .help("Compare two sizes by counts; ends with 1 when a node says more in the larger")
+        .switch();
+    construct!(ScaleOptions {
+        nodes,
+        instances,
+        rules,
+        pools,
+        changes,
+        restarts,
+        seconds,
+        zones,
+        agents,
+        directories,
+        threads,
+        base,
+        json,
+        sweep,
+        check
+    })
+}
+
 pub async fn until(what: &str, span: Duration, test: impl AsyncFn() -> bool) -> anyhow::Result<()> {
     let start = Instant::now();
     while start.elapsed() < span {
@@ -456,11 +535,22 @@
             };
             return relay::run(*serving, &read(pairs), &read(http)).await;
         }
+        Command::Scale(options) => {
+            let (options, run) = (options.clone(), flags.run.clone());
+            // Why a thread: each size has a runtime of its own, and none may start within another.
+            let outcome = std::thread::spawn(move || scale(&options, &run)).join();
+            match outcome {
+                Ok(Ok(true)) => return Ok(()),
+                Ok(Ok(false)) => std::process::exit(1),
+                Ok(Err(mishap)) => return Err(mishap),
+                Err(_) => bail!("the run broke an invariant"),
+            }
+        }
         _ => {}
     }
     let mut fleet = Fleet::load(&flags.run).unwrap_or_else(|fault| end_over(&[fault]));
     match &flags.command {
-        Command::Up { .. } | Command::Drill { .. } | Command::Relay { .. } => {}
+        Command::Up { .. } | Command::Drill { .. } | Command::Relay { .. } | Command::Scale(_) => {}
         Command::Cut { one_way, names } => {
             let places = named_or_end(&fleet, names);
             fleet.cut(&places, *one_way).await?;
--- a/crates/workshop/src/prelude.rs
+++ b/crates/workshop/src/prelude.rs
@@ -5,6 +5,10 @@
 pub use toolroom::prelude::*;
 
 pub use crate::drill::Drill;
+pub use crate::fit::*;
 pub use crate::fleet::*;
+pub use crate::flows::*;
+pub use crate::hollow::*;
 pub use crate::http_relay::*;
+pub use crate::scale::{scale, ScaleOptions};
 pub use crate::{down, judge, status_of, until, up};
--- /dev/null
+++ b/crates/workshop/src/scale_tests.rs
@@ -0,0 +1,105 @@
+//! Stories of what `workshop scale` reckons, refuses and concludes.
+
+use crate::prelude::*;
+
+const GIB: u64 = 1024 * 1024 * 1024;
+
+fn sized(nodes: u32, instances: u32, agents: u32) -> ScaleOptions {
+    ScaleOptions {
+        nodes,
+        instances,
+        rules: 100,
+        pools: 10,
+        changes: 1.0,
+        restarts: 0.0,
+        seconds: 1,
+        zones: 4,
+        agents,
+        directories: 2,
+        threads: 1,
+        base: 25000,
+        json: None,
+        sweep: false,
+        check: false,
+    }
+}
+
+/// The number after a flag in what the operator is told.
+fn told(faults: &[OptionsFault], flag: &str) -> Option<u32> {
+    let text = &faults.first()?.remedy;
+    let rest = text.split_once(&format!("{flag} "))?.1;
+    let end = rest
+        .find(|sign: char| !sign.is_ascii_digit())
+        .unwrap_or(rest.len());
+    rest[..end].parse().ok()
+}
+
+#[test]
+fn given_points_on_a_line_when_fitted_then_slope_and_intercept_are_found_without_residual() {
+    let points = [(1.0, 5.0), (2.0, 7.0), (4.0, 11.0), (8.0, 19.0)];
+    let fit = Fit::through(&points).expect("a line");
+    assert!((fit.slope - 2.0).abs() < 1e-9 && (fit.intercept - 3.0).abs() < 1e-9);
+    assert!(fit.residual < 1e-9 && fit.is_straight());
+}
+
+#[test]
+fn given_squares_when_fitted_then_they_are_told_to_be_no_straight_line() {
+    let points = [1.0, 2.0, 4.0, 8.0].map(|place: f64| (place, place * place));
+    assert!(!Fit::through(&points).expect("a line").is_straight());
+}
+
+#[test]
+fn given_one_place_only_when_fitted_then_there_is_no_line() {
+    assert_eq!(Fit::through(&[(3.0, 1.0), (3.0, 2.0)]), None);
+    assert_eq!(Fit::through(&[(3.0, 1.0)]), None);
+}
+
+#[test]
+fn given_delays_when_their_percentiles_are_asked_then_the_right_ones_are_given() {
+    let delays: Vec<Duration> = (1..=100).rev().map(Duration::from_millis).collect();
+    assert_eq!(percentile(&delays, 50), Some(Duration::from_millis(50)));
+    assert_eq!(percentile(&delays, 99), Some(Duration::from_millis(99)));
+    assert_eq!(percentile(&delays, 100), Some(Duration::from_millis(100)));
+    assert_eq!(percentile(&[], 50), None);
+}
+
+#[test]
+fn given_too_little_memory_when_a_size_is_asked_then_the_number_told_fits_and_one_more_does_not() {
+    let asked = sized(4000, 1000, 3);
+    let faults = asked.faults(8 * GIB, 1_000_000);
+    let most = told(&faults, "--nodes").expect("a number");
+    assert!(sized(most, 1000, 3).faults(8 * GIB, 1_000_000).is_empty());
+    assert!(!sized(most + 1, 1000, 3)
+        .faults(8 * GIB, 1_000_000)
+        .is_empty());
+}
+
+#[test]
+fn given_too_many_processes_when_asked_then_the_number_told_fits_and_one_more_does_not() {
+    let faults = sized(8, 10, 500).faults(64 * GIB, 20_000);
+    let most = told(&faults, "--agents").expect("a number");
+    assert!(sized(8, 10, most).faults(64 * GIB, 20_000).is_empty());
+    assert!(!sized(8, 10, most + 1).faults(64 * GIB, 20_000).is_empty());
+}
+
+#[test]
+fn given_too_few_open_files_when_asked_then_the_number_told_fits_and_one_more_does_not() {
+    let faults = sized(1000, 10, 3).faults(64 * GIB, 4096);
+    let most = told(&faults, "--nodes").expect("a number");
+    assert!(sized(most, 10, 3).faults(64 * GIB, 4096).is_empty());
+    assert!(!sized(most + 1, 10, 3).faults(64 * GIB, 4096).is_empty());
+}
+
+#[test]
+fn given_counts_at_two_moments_when_subtracted_then_what_went_between_is_left() {
+    let flows = Flows::default();
+    flows.count(Part::Ledger, Part::Mentor, 10);
+    let before = flows.so_far();
+    flows.count(Part::Ledger, Part::Mentor, 30);
+    flows.count(Part::Mentor, Part::Ledger, 5);
+    let went = flows.so_far().since(&before);
+    let amount = |messages, bytes| Amount { messages, bytes };
+    assert_eq!(went.into_part(Part::Mentor), amount(1, 30));
+    assert_eq!(went.out_of_part(Part::Mentor), amount(1, 5));
+    assert_eq!(went.into_part(Part::Cuesheet), amount(0, 0));
+}
