Place a host's routes as one, and tell demand only now and then

Cause: on the grown sites a mapping of every route was written every two seconds and went to 62 directories; demand went out with each renewal of a lease.

--- a/crates/caperworks/src/facts.rs
+++ b/crates/caperworks/src/facts.rs
@@ -65,6 +65,8 @@
         10 leaving: bool,
         /// Where groups of clients say that they stand, as a directory heard it.
         11 stands: Vec<GroupStand>,
+        /// Its demand is as told before, and left out here.
+        12 same_demand: bool,
     }
 
     /// A fact on its way between our processes, with the age it had when it left.
@@ -364,6 +366,13 @@
             self.known
                 .retain(|_, kept| kept.fact.control != heard.member.control);
         }
+        let mut fact = heard.member.clone();
+        if fact.same_demand {
+            // Why kept and not asked for: it is told whole again in a moment.
+            let before = self.known.get(&node).map(|kept| kept.fact.demand.clone());
+            fact.demand = before.unwrap_or_default();
+            fact.same_demand = false;
+        }
         let quiet = self.known.get(&node).filter(|kept| {
             let (said, before) = (&heard.member, &kept.fact);
             said.ready == before.ready
@@ -382,7 +391,7 @@
         self.known.insert(
             node,
             Kept {
-                fact: heard.member.clone(),
+                fact,
                 heard_at,
                 learned,
                 told_at,
--- a/crates/caperworks/src/placement.rs
+++ b/crates/caperworks/src/placement.rs
@@ -262,6 +262,22 @@
     pub requests_per_slot: u32,
     /// Whether proxies outside a route's homes take its requests and send them home.
     pub carries_home: bool,
+    /// Whether directories answer for hosts, so that all routes of a host are placed as one.
+    pub by_host: bool,
+}
+
+/// For each route the first of its host, which stands for all of them; none where each has answers
+/// of its own.
+fn heads_of_hosts(view: &ProblemView<'_>) -> BTreeMap<RuleName, RuleName> {
+    let mut heads = BTreeMap::new();
+    let mut of_host: BTreeMap<&str, RuleName> = BTreeMap::new();
+    if view.by_host {
+        for (name, rule) in view.standing.rules() {
+            let head = of_host.entry(&rule.host).or_insert_with(|| name.clone());
+            heads.insert(name, head.clone());
+        }
+    }
+    heads
 }
 
 impl Solver {
@@ -284,6 +300,7 @@
     }
 
     fn take_in(&mut self, now: Duration, view: &ProblemView<'_>) {
+        let heads = heads_of_hosts(view);
         let mut sums: BTreeMap<(String, RuleName), (u32, BTreeMap<Area, u32>)> = BTreeMap::new();
         for proxy in view
             .members
@@ -291,8 +308,9 @@
             .filter(|member| member.role == Role::Proxy)
         {
             for demand in &proxy.demand {
+                let route = heads.get(&demand.rule).unwrap_or(&demand.rule);
                 let entry = sums
-                    .entry((demand.group.clone(), demand.rule.clone()))
+                    .entry((demand.group.clone(), route.clone()))
                     .or_default();
                 entry.0 += demand.orders;
                 let micros = demand.locality.as_micros().min(10_000_000) as u32;
@@ -363,9 +381,11 @@
                     .or_default() += beat.capacity * view.requests_per_slot;
             }
         }
+        let heads = heads_of_hosts(view);
         let mut by_rule: BTreeMap<RuleName, Vec<(String, u32)>> = view
             .standing
             .rules()
+            .filter(|(name, _)| heads.get(name).is_none_or(|head| head == name))
             .map(|(name, _)| (name, vec![(UNSEEN_GROUP.to_string(), 1)]))
             .collect();
         for ((group, rule), measured) in &self.measured {
--- a/crates/caperworks/src/policy.rs
+++ b/crates/caperworks/src/policy.rs
@@ -28,6 +28,8 @@
     pub carries_home: bool,
     /// How long a beat that says nothing new need not be passed on to followers.
     pub beat_refresh: Duration,
+    /// Whether directories answer for hosts, so that all routes of a host are placed as one.
+    pub by_host: bool,
     /// The same for members.
     pub member_refresh: Duration,
     /// A member that renews its lease here and then not for so long counts as not ready.
@@ -51,6 +53,7 @@
             requests_per_slot: 1,
             carries_home: false,
             beat_refresh: Duration::ZERO,
+            by_host: false,
             member_refresh: Duration::ZERO,
             member_silence: MEMBER_SPAN,
             ledger_lost: Duration::from_secs(6),
--- a/crates/caperworks/tests/placement_stories.rs
+++ b/crates/caperworks/tests/placement_stories.rs
@@ -263,6 +263,7 @@
         };
         let member = Member {
             stands: Vec::new(),
+            same_demand: false,
             node: NodeId(steady_hash(area)),
             counter: self.counter,
             role: Role::Proxy,
@@ -340,6 +341,7 @@
 
     fn solves(&self, solver: &mut Solver, seconds: u64, last: Option<&Mapping>) -> Mapping {
         let view = ProblemView {
+            by_host: false,
             carries_home: false,
             standing: &self.standing,
             instances: &self.instances,
--- a/crates/cuesheet/src/machine.rs
+++ b/crates/cuesheet/src/machine.rs
@@ -113,6 +113,7 @@
                         demand: Vec::new(),
                         editions: self.link.editions(),
                         leaving: !self.ready,
+                        same_demand: false,
                         stands: self
                             .stands
                             .iter()
--- a/crates/ledger/src/duties.rs
+++ b/crates/ledger/src/duties.rs
@@ -132,6 +132,7 @@
         last: board.seat.book(BookName::Placement).mapping(),
         requests_per_slot: board.options.core.requests_per_slot,
         carries_home: board.options.core.carries_home,
+        by_host: board.options.core.by_host,
     };
     let Some(mapping) = board.solver.step(now, epoch, &view) else {
         return;
--- a/crates/mentor/src/daemon.rs
+++ b/crates/mentor/src/daemon.rs
@@ -95,6 +95,7 @@
         proxy_serves_on: place.terms.proxy.serves_on,
         instance_span: place.terms.core.instance_span,
         beat_refresh: place.terms.core.beat_refresh,
+        demand_period: place.terms.core.member_refresh,
     };
     let machine = MentorMachine::start(options, fresh_seed());
     let (inbox, receiver) = Inbox::open();
--- a/crates/mentor/src/machine.rs
+++ b/crates/mentor/src/machine.rs
@@ -26,6 +26,8 @@
     pub instance_span: Duration,
     /// How long a beat that says nothing new need not be told to the proxy.
     pub beat_refresh: Duration,
+    /// How long demand need not be told again.
+    pub demand_period: Duration,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -104,6 +106,9 @@
     node: NodeId,
     link: CoreLink,
     counter: u64,
+    /// When the demand is told again, and whom it was told last.
+    demand_at: Duration,
+    demand_to: SocketAddr,
     proxy: Option<(Duration, Pull)>,
     /// What the proxies' lives beside us carried, by life, hour and rule.
     usage: BTreeMap<(u64, u64, RuleName, PoolName), UsageLine>,
@@ -127,11 +132,14 @@
         link.instances.span = options.instance_span;
         link.instances.refresh = options.beat_refresh;
         let islander = Islander::new(options.control);
+        let first = options.control;
         Self {
             options,
             node,
             link,
             counter: 0,
+            demand_at: Duration::ZERO,
+            demand_to: first,
             proxy: None,
             usage: BTreeMap::new(),
             beats: Vec::new(),
@@ -175,6 +183,11 @@
 
     fn member(&mut self, now: Duration) -> Member {
         self.counter += 1;
+        let tells_demand = now >= self.demand_at || self.link.ledger() != self.demand_to;
+        if tells_demand {
+            self.demand_at = now + self.options.demand_period;
+            self.demand_to = self.link.ledger();
+        }
         let proxy = self
             .proxy
             .as_ref()
@@ -189,7 +202,11 @@
             serving: proxy.map_or(self.options.control, |pull| pull.serving),
             ready: proxy.is_some_and(|pull| pull.ready),
             capacity: proxy.map_or(0, |pull| pull.capacity),
-            demand: proxy.map(|pull| pull.demand.clone()).unwrap_or_default(),
+            demand: proxy
+                .filter(|_| tells_demand)
+                .map(|pull| pull.demand.clone())
+                .unwrap_or_default(),
+            same_demand: !tells_demand,
             editions: self.link.editions(),
             leaving: self.stopping_since.is_some(),
             stands: Vec::new(),
--- a/crates/mentor/tests/agent_stories.rs
+++ b/crates/mentor/tests/agent_stories.rs
@@ -51,6 +51,7 @@
     fn new(proxy_serves_on: bool) -> Self {
         let options = MentorOptions {
             beat_refresh: Duration::ZERO,
+            demand_period: Duration::ZERO,
             control: address(6500),
             area: Area::new("e1"),
             seeds: vec![address(6000), address(6001)],
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -434,6 +434,7 @@
                     proxy_serves_on: false,
                     instance_span: INSTANCE_SPAN,
                     beat_refresh: Duration::ZERO,
+                    demand_period: Duration::ZERO,
                     control: address,
                     area,
                     seeds,
--- a/crates/workshop/src/hollow.rs
+++ b/crates/workshop/src/hollow.rs
@@ -192,6 +192,7 @@
             .collect();
         Member {
             stands: Vec::new(),
+            same_demand: false,
             node: self.node,
             counter: self.counter,
             role: Role::Proxy,
