--- a/crates/caperworks/tests/dispatch_stories.rs
+++ b/crates/caperworks/tests/dispatch_stories.rs
@@ -429,6 +429,166 @@
     assert_eq!(one.state, InstanceState::Leaving);
 }
 
+/// A proxy that knows one owner of all keys, heard as serving at first.
+fn knowledge_of_an_owner(policy: ProxyPolicy) -> ProxyKnowledge {
+    let mut known = knowledge(&[beat("one", "e1", 60_000)]);
+    known.policy = policy;
+    let books = [
+        (
+            BookName::Standing,
+            "pool/records",
+            Value::Pool {
+                pool: Pool {
+                    keyed: true,
+                    ..pool()
+                },
+            },
+        ),
+        (
+            BookName::Tenure,
+            "slices/records",
+            Value::Slices {
+                table: SliceTable {
+                    epoch: Epoch(3),
+                    owners: vec![
+                        Some(SliceOwner {
+                            instance: InstanceId::new("one"),
+                            incarnation: Incarnation(1),
+                            epoch: Epoch(3),
+                            handover: None,
+                        });
+                        4
+                    ],
+                },
+            },
+        ),
+    ];
+    let news = books.map(|(name, key, value)| {
+        let mut whole = known.books.book(name).clone();
+        whole.apply(&Change {
+            id: ChangeId::new("keyed"),
+            puts: vec![Put {
+                key: key.to_string(),
+                expected: None,
+                value: Some(value),
+                written: None,
+            }],
+            guards: Vec::new(),
+        });
+        Vote::Whole { book: name, whole }
+    });
+    known.take(
+        millis(50),
+        &state_view(2, InstanceState::Serving, news.to_vec()),
+    );
+    known
+}
+
+/// What an agent tells when the owner is in this state.
+fn state_view(number: u64, state: InstanceState, news: Vec<Vote>) -> ProxyView {
+    ProxyView {
+        agent: NodeId(1),
+        instances_place: number,
+        all_instances: false,
+        number,
+        left: millis(60_000),
+        news,
+        instances: vec![Beat {
+            state,
+            counter: number,
+            ..beat("one", "e1", 60_000)
+        }],
+        proxies: 1,
+        standing: Edition(1),
+        tenure: Edition(1),
+    }
+}
+
+/// Whether a key goes to its owner now, by the choice and by the last check alike.
+fn key_goes(known: &ProxyKnowledge, now: Duration, target: &Target) -> bool {
+    let own = Area::new("e1");
+    let chosen = PoolShard::new(1).choose(now, known, &own, &rule(), Some("k"), &[]);
+    let still = known.still_good(now, &own, &rule(), target);
+    assert_eq!(chosen.is_ok(), still.is_ok(), "{chosen:?} {still:?}");
+    if chosen.is_err() {
+        assert_eq!(chosen, Err(Mishap::NoOwner));
+        assert_eq!(still, Err(Mishap::NoInstance));
+    }
+    chosen.is_ok()
+}
+
+#[test]
+fn given_a_leaving_owner_when_keys_come_then_they_go_there_for_the_span_and_not_after() {
+    for (span, policy) in [
+        (
+            4000,
+            ProxyPolicy {
+                leaving_owner: millis(4000),
+                ..ProxyPolicy::default()
+            },
+        ),
+        (0, ProxyPolicy::default()),
+    ] {
+        let mut known = knowledge_of_an_owner(policy);
+        let own = Area::new("e1");
+        let target = PoolShard::new(1)
+            .choose(millis(60), &known, &own, &rule(), Some("k"), &[])
+            .expect("it serves");
+        assert!(key_goes(&known, millis(90), &target));
+        known.take(
+            millis(100),
+            &state_view(3, InstanceState::Leaving, Vec::new()),
+        );
+        for (after, goes) in [
+            (0, span > 0),
+            (10, span > 0),
+            (3999, span > 0),
+            (4000, false),
+        ] {
+            let now = millis(100 + after);
+            assert_eq!(key_goes(&known, now, &target), goes, "{span} {after}");
+        }
+        // Hearing again that it leaves begins no new span.
+        known.take(
+            millis(3000),
+            &state_view(4, InstanceState::Leaving, Vec::new()),
+        );
+        assert_eq!(key_goes(&known, millis(4099), &target), span > 0);
+        assert!(!key_goes(&known, millis(4100), &target));
+        // One that serves again gets keys for as long as it does, and then for a span of its own.
+        known.take(
+            millis(5000),
+            &state_view(5, InstanceState::Serving, Vec::new()),
+        );
+        assert!(key_goes(&known, millis(20_000), &target));
+        known.take(
+            millis(21_000),
+            &state_view(6, InstanceState::Leaving, Vec::new()),
+        );
+        assert_eq!(key_goes(&known, millis(24_999), &target), span > 0);
+        assert!(!key_goes(&known, millis(25_000), &target));
+    }
+}
+
+#[test]
+fn given_a_leaving_instance_when_its_pool_has_no_keys_then_the_span_lets_nothing_go_there() {
+    let mut known = knowledge(&[beat("one", "e1", 60_000)]);
+    known.policy.leaving_owner = millis(4000);
+    let own = Area::new("e1");
+    let mut shard = PoolShard::new(1);
+    let target = shard
+        .choose(millis(60), &known, &own, &rule(), None, &[])
+        .expect("it serves");
+    known.take(
+        millis(100),
+        &state_view(2, InstanceState::Leaving, Vec::new()),
+    );
+    let chosen = shard.choose(millis(110), &known, &own, &rule(), None, &[]);
+    assert_eq!(chosen, Err(Mishap::NoInstance));
+    let still = known.still_good(millis(110), &own, &rule(), &target);
+    assert_eq!(still, Err(Mishap::NoInstance));
+}
+
 #[test]
 fn given_a_change_with_many_faults_when_checked_then_each_of_them_is_named() {
     let put = |key: &str, value: Value| Put {
--- a/crates/caperworks/tests/placement_stories.rs
+++ b/crates/caperworks/tests/placement_stories.rs
@@ -450,3 +450,91 @@
     assert!(most >= Some(40), "its first site takes only {most:?} of 60");
     assert_eq!(bound[0].unplaced, 0);
 }
+
+/// A directory tells where a group's clients say that they stand.
+fn directory_says(bench: &mut Bench, zone: &str) {
+    bench.counter += 1;
+    let address = SocketAddr::from(([127, 0, 0, 1], 8999));
+    let member = Member {
+        stands: vec![GroupStand {
+            group: "10.1.2.0/24".to_string(),
+            zone: Area::new(zone),
+        }],
+        node: NodeId(7),
+        counter: bench.counter,
+        role: Role::Directory,
+        area: Area::new("e1"),
+        control: address,
+        serving: address,
+        ready: true,
+        capacity: 0,
+        demand: Vec::new(),
+        editions: Vec::new(),
+        leaving: false,
+    };
+    let age = Duration::ZERO;
+    let heard = HeardMember { member, age };
+    bench.members.hear(Duration::from_secs(2), &heard);
+}
+
+/// A proxy that sees requests of the group and cannot tell how far its clients are.
+fn proxy_cannot_measure(bench: &mut Bench, zone: &str, requests: u32) {
+    let now = Duration::from_secs(2);
+    bench.proxy_says(now, zone, true, requests);
+    let mut member = bench
+        .members
+        .iter()
+        .find(|member| member.area.as_str() == zone)
+        .expect("it is a member")
+        .clone();
+    bench.counter += 1;
+    member.counter = bench.counter;
+    member.demand[0].locality = Duration::ZERO;
+    let age = Duration::ZERO;
+    bench.members.hear(now, &HeardMember { member, age });
+}
+
+#[test]
+fn given_a_group_that_says_where_it_stands_when_solved_then_it_is_sent_there_or_to_its_region() {
+    for (zone, near) in [("e1", "e2"), ("e2", "e1"), ("w1", "w2"), ("w2", "w1")] {
+        // Its requests are seen somewhere else, where the round trip cannot be told.
+        for seen in ["e1", "w2"] {
+            let mut bench = Bench::new(None);
+            proxy_cannot_measure(&mut bench, seen, 20);
+            directory_says(&mut bench, zone);
+            let mapping = bench.solves(&mut Solver::default(), 2, None);
+            let carriers = carrying(&mapping, "10.1.2.0/24");
+            assert_eq!(carriers, [zone.to_string()].into(), "seen at {seen}");
+            bench.close(zone);
+            let mapping = bench.solves(&mut Solver::default(), 2, None);
+            let carriers = carrying(&mapping, "10.1.2.0/24");
+            assert_eq!(carriers, [near.to_string()].into(), "seen at {seen}");
+        }
+    }
+}
+
+#[test]
+fn given_a_group_whose_distance_was_measured_when_it_says_where_it_stands_then_the_measure_counts()
+{
+    let mut bench = Bench::new(None);
+    bench.proxy_says(Duration::from_secs(2), "e1", true, 20);
+    directory_says(&mut bench, "w1");
+    let mapping = bench.solves(&mut Solver::default(), 2, None);
+    let carriers = carrying(&mapping, "10.1.2.0/24");
+    assert_eq!(carriers, ["e1".to_string()].into());
+}
+
+#[test]
+fn given_a_group_that_moves_when_it_says_so_then_it_is_sent_where_it_stands_now() {
+    let mut bench = Bench::new(None);
+    proxy_cannot_measure(&mut bench, "e1", 20);
+    directory_says(&mut bench, "e2");
+    let mut solver = Solver::default();
+    let mapping = bench.solves(&mut solver, 2, None);
+    let carriers = carrying(&mapping, "10.1.2.0/24");
+    assert_eq!(carriers, ["e2".to_string()].into());
+    directory_says(&mut bench, "w2");
+    let mapping = bench.solves(&mut solver, 4, Some(&mapping));
+    let carriers = carrying(&mapping, "10.1.2.0/24");
+    assert_eq!(carriers, ["w2".to_string()].into());
+}
--- a/crates/caperworks/tests/range_stories.rs
+++ b/crates/caperworks/tests/range_stories.rs
@@ -455,6 +455,57 @@
     panic!("the slices never moved");
 }
 
+#[test]
+fn given_a_keeper_after_its_own_former_life_when_an_owner_is_silent_then_it_waits_the_lesser_time()
+{
+    for (after_own, expected) in [(true, millis(3500)), (false, millis(8000))] {
+        let mut bench = Bench::new(4);
+        bench.runs(seconds(1), &["a"], 3);
+        bench.keeper = Keeper::default();
+        bench.keeper.spans.wait = millis(8000);
+        bench.keeper.spans.wait_after_own = millis(3500);
+        bench.keeper.take_up(seconds(30), after_own);
+        let moved_at = (0..100).find_map(|step| {
+            let now = seconds(30) + millis(100 * step);
+            bench.beats(now, "b");
+            (bench.plans(now) > 0).then_some(now)
+        });
+        assert_eq!(moved_at, Some(seconds(30) + expected), "{after_own}");
+        assert!((0..4).all(|slice| bench.owner(slice) == "b"));
+    }
+}
+
+#[test]
+fn given_an_owner_that_said_it_ended_when_half_a_second_has_passed_then_its_slices_are_free() {
+    let mut bench = Bench::new(4);
+    bench.runs(seconds(1), &["a"], 10);
+    assert!((0..4).all(|slice| bench.owner(slice) == "a"));
+    let ended = seconds(6);
+    let id = InstanceId::new("a");
+    assert_eq!(bench.instances.ended_for(ended, &id), Duration::ZERO);
+    assert!(bench.instances.end(ended, &id));
+    assert_eq!(
+        bench.instances.ended_for(ended + millis(400), &id),
+        millis(400)
+    );
+    for step in 1..=5 {
+        let now = ended + millis(100 * step);
+        // A late beat of the one that ended brings nothing back, and its holds bind nobody.
+        let late = bench.beat_of("a");
+        bench.hears(now, &late);
+        assert_eq!(bench.instances.get(&id), None);
+        assert_eq!(bench.instances.ended_for(now, &id), millis(100 * step));
+        bench.beats(now, "b");
+        assert_eq!(bench.plans(now), if step < 5 { 0 } else { 4 }, "at {now:?}");
+    }
+    assert!((0..4).all(|slice| bench.owner(slice) == "b"));
+    let other = InstanceId::new("b");
+    assert_eq!(
+        bench.instances.ended_for(seconds(20), &other),
+        Duration::ZERO
+    );
+}
+
 #[test]
 fn given_instances_that_come_and_go_when_many_days_pass_then_no_slice_is_held_by_two() {
     let names = ["a", "b", "c", "d"];
--- a/crates/ledger/tests/fleet_stories.rs
+++ b/crates/ledger/tests/fleet_stories.rs
@@ -480,6 +480,83 @@
     assert_eq!(fleet.instances(0), ["two"]);
 }
 
+/// What instances beat and hold, each taking up what it is told to.
+#[derive(Default)]
+struct Holders {
+    counter: u64,
+    held: BTreeMap<&'static str, BTreeSet<u32>>,
+}
+
+impl Holders {
+    fn beats(&mut self, fleet: &mut Fleet, place: usize, id: &'static str) -> BeatAnswer {
+        self.counter += 1;
+        let mut said = beat(id, self.counter);
+        said.address.set_port(8000 + u16::from(id == "two"));
+        let held = self.held.entry(id).or_default();
+        said.holding = held.iter().copied().collect();
+        let ticket = fleet.beats(place, said);
+        let answer = fleet.beat_answer(ticket).expect("it is answered").clone();
+        *held = answer.holds.iter().map(|hold| hold.slice).collect();
+        answer
+    }
+}
+
+/// A fleet whose keyed pool two instances share, and the place of the keeper.
+fn shared_by_two(seed: u64) -> (Fleet, Holders, usize) {
+    let mut fleet = Fleet::founded(seed);
+    fleet.calls(
+        0,
+        apply("call-1", vec![pool_put("records", 1, Some(pool()))]),
+    );
+    fleet.runs(Duration::from_secs(2));
+    let keeper = fleet.keeper();
+    let mut holders = Holders::default();
+    for _ in 0..40 {
+        holders.beats(&mut fleet, (keeper + 1) % 3, "one");
+        holders.beats(&mut fleet, (keeper + 1) % 3, "two");
+        fleet.runs(Duration::from_millis(250));
+    }
+    let (one, two) = (&holders.held["one"], &holders.held["two"]);
+    assert!(one.len() >= 3 && two.len() >= 3, "{one:?} {two:?}");
+    assert_eq!(one.len() + two.len(), 8);
+    (fleet, holders, keeper)
+}
+
+fn ends(fleet: &mut Fleet, place: usize, id: &str) {
+    fleet.tickets += 1;
+    let (ticket, id) = (fleet.tickets, InstanceId::new(id));
+    fleet.inputs(place, LedgerInput::Gone { ticket, id });
+}
+
+#[test]
+fn given_an_owner_that_ended_when_late_beats_of_it_come_then_nothing_is_prolonged_and_others_own() {
+    // Whether the keeper hears it itself, or another ledger that tells it within a moment.
+    for (told, moment) in [(0, Duration::ZERO), (1, Duration::from_millis(150))] {
+        let (mut fleet, mut holders, keeper) = shared_by_two(120);
+        let owned = holders.held["one"].clone();
+        let ended = fleet.now;
+        ends(&mut fleet, (keeper + told) % 3, "one");
+        loop {
+            fleet.runs(Duration::from_millis(50));
+            let span = fleet.now - ended;
+            assert!(span < Duration::from_secs(2), "its slices never moved");
+            for place in (0..3).filter(|_| span > moment) {
+                let late = holders.beats(&mut fleet, place, "one");
+                let named = format!("{told} {place} after {span:?}: {late:?}");
+                assert!(late.holds.is_empty(), "{named}");
+                assert!(late.release.is_empty(), "{named}");
+            }
+            holders.beats(&mut fleet, (keeper + 1) % 3, "two");
+            let two = &holders.held["two"];
+            if !two.is_disjoint(&owned) {
+                assert!(span >= Duration::from_millis(500), "moved after {span:?}");
+                assert_eq!(*two, (0..8).collect());
+                break;
+            }
+        }
+    }
+}
+
 #[test]
 fn given_a_ledger_about_to_stop_when_a_call_comes_then_it_sends_the_caller_elsewhere() {
     let mut fleet = Fleet::founded(110);
