Tell two stories that fail: a renewal after a silence, a beat as its instance ends

A member that is counted as silent gets the next counter, which its very next renewal bears as well: that one is refused, and the member stays not ready for one renewal more; the same when another ledger heard that renewal.

A ledger takes an instance for ended when it ended more than nothing ago: a beat of it in the very instant of its end is answered with holds.

--- a/crates/caperworks/tests/fact_stories.rs
+++ b/crates/caperworks/tests/fact_stories.rs
@@ -262,6 +262,15 @@
     assert_eq!(ready(&third), Vec::<u64>::new());
 }
 
+#[test]
+fn given_a_member_counted_as_silent_when_its_very_next_renewal_comes_then_it_is_ready() {
+    let mut members = Members::default();
+    renews(&mut members, millis(1000), member(1, 5));
+    members.count_silent(millis(2000), NodeId(1));
+    assert!(renews(&mut members, millis(2100), member(1, 6)));
+    assert_eq!(ready(&members), [1]);
+}
+
 fn view(number: u64, all: bool, instances: Vec<Beat>) -> ProxyView {
     ProxyView {
         agent: NodeId(1),
--- a/crates/ledger/tests/fleet_stories.rs
+++ b/crates/ledger/tests/fleet_stories.rs
@@ -557,6 +557,14 @@
     }
 }
 
+#[test]
+fn given_an_owner_that_ended_when_its_late_beat_comes_in_the_same_instant_then_it_holds_nothing() {
+    let (mut fleet, mut holders, keeper) = shared_by_two(130);
+    ends(&mut fleet, keeper, "one");
+    let late = holders.beats(&mut fleet, keeper, "one");
+    assert!(late.holds.is_empty(), "{late:?}");
+}
+
 #[test]
 fn given_a_ledger_about_to_stop_when_a_call_comes_then_it_sends_the_caller_elsewhere() {
     let mut fleet = Fleet::founded(110);
