A silent member's next renewal counts; an instance that ended holds nothing at once

Two faults that the new stories showed, each red before: a member counted as silent was given its own next counter, so its very next renewal was passed over; a beat in the instant of an instance's end was still answered with holds.

--- a/crates/caperworks/src/facts.rs
+++ b/crates/caperworks/src/facts.rs
@@ -67,6 +67,8 @@
         11 stands: Vec<GroupStand>,
         /// Its demand is as told before, and left out here.
         12 same_demand: bool,
+        /// A ledger that it renewed at has not heard it since; what it says next goes before this.
+        13 silent: bool,
     }
 
     /// A fact on its way between our processes, with the age it had when it left.
@@ -259,6 +261,11 @@
         true
     }
 
+    /// Whether an instance said that it ended.
+    pub fn has_ended(&self, id: &InstanceId) -> bool {
+        self.ended.contains_key(id)
+    }
+
     /// How long ago an instance said that it ended; zero if it did not.
     pub fn ended_for(&self, now: Duration, id: &InstanceId) -> Duration {
         let ended = self.ended.get(id);
@@ -358,7 +365,8 @@
         }
         let node = heard.member.node;
         if let Some(kept) = self.known.get(&node) {
-            if heard.member.counter <= kept.fact.counter {
+            let said = (heard.member.counter, heard.member.silent);
+            if said <= (kept.fact.counter, kept.fact.silent) {
                 return false;
             }
         } else {
@@ -402,13 +410,13 @@
 
     /// Counts a member that fell silent here as not ready, for everyone, until it is heard again.
     ///
-    /// Why under the next counter: whoever has heard it later than we have knows better.
+    /// Why under the same counter: whoever has heard it later than we have knows better.
     pub fn count_silent(&mut self, now: Duration, node: NodeId) {
         let Some(kept) = self.known.get_mut(&node).filter(|kept| kept.fact.ready) else {
             return;
         };
         kept.fact.ready = false;
-        kept.fact.counter += 1;
+        kept.fact.silent = true;
         self.learned += 1;
         kept.learned = self.learned;
         kept.told_at = now;
--- a/crates/caperworks/tests/gone_stories.rs
+++ b/crates/caperworks/tests/gone_stories.rs
@@ -76,6 +76,7 @@
     Member {
         stands: Vec::new(),
         same_demand: false,
+        silent: false,
         node: NodeId(9),
         counter: 1,
         role: Role::Proxy,
--- a/crates/caperworks/tests/placement_stories.rs
+++ b/crates/caperworks/tests/placement_stories.rs
@@ -264,6 +264,7 @@
         let member = Member {
             stands: Vec::new(),
             same_demand: false,
+            silent: false,
             node: NodeId(steady_hash(area)),
             counter: self.counter,
             role: Role::Proxy,
@@ -458,6 +459,8 @@
     bench.counter += 1;
     let address = SocketAddr::from(([127, 0, 0, 1], 8999));
     let member = Member {
+        same_demand: false,
+        silent: false,
         stands: vec![GroupStand {
             group: "10.1.2.0/24".to_string(),
             zone: Area::new(zone),
--- a/crates/cuesheet/src/machine.rs
+++ b/crates/cuesheet/src/machine.rs
@@ -114,6 +114,7 @@
                         editions: self.link.editions(),
                         leaving: !self.ready,
                         same_demand: false,
+                        silent: false,
                         stands: self
                             .stands
                             .iter()
--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine.rs
@@ -461,11 +461,7 @@
     };
     board.instances.hear(board.now, &heard);
     // Why no answer of ours: it said that it ended, and a late beat must not prolong its holds.
-    if !board
-        .instances
-        .ended_for(board.now, &heard.beat.id)
-        .is_zero()
-    {
+    if board.instances.has_ended(&heard.beat.id) {
         return BeatAnswer::default();
     }
     duties::answer_beat(board, &heard.beat)
--- a/crates/mentor/src/machine.rs
+++ b/crates/mentor/src/machine.rs
@@ -207,6 +207,7 @@
                 .map(|pull| pull.demand.clone())
                 .unwrap_or_default(),
             same_demand: !tells_demand,
+            silent: false,
             editions: self.link.editions(),
             leaving: self.stopping_since.is_some(),
             stands: Vec::new(),
--- a/crates/workshop/src/hollow.rs
+++ b/crates/workshop/src/hollow.rs
@@ -193,6 +193,7 @@
         Member {
             stands: Vec::new(),
             same_demand: false,
+            silent: false,
             node: self.node,
             counter: self.counter,
             role: Role::Proxy,
