Cold instances: proxies that see one cold at once no longer send together

A bucket now begins somewhere below full. The new story counts 24 in one second before, at most 16 after.

--- a/crates/caperworks/src/dispatch.rs
+++ b/crates/caperworks/src/dispatch.rs
@@ -317,7 +317,8 @@
     }
 }
 
-/// A bucket that starts empty, so that many proxies together cannot begin with a burst.
+/// A bucket that starts somewhere below full, so that many proxies together neither begin with a
+/// burst nor come to one when their buckets fill.
 #[derive(Debug, Clone, Default)]
 struct GentleBucket {
     tokens: f64,
@@ -676,13 +677,16 @@
         // Why divided: the rate is the instance's, however many proxies there are.
         let rate = pool.cold_rate() / f64::from(knowledge.proxies.max(1));
         let cold = knowledge.is_cold(beat, pool);
+        // Why by chance: buckets that all begin empty at once are all full at once, and that many
+        // proxies together would send in one second what the instance bears in several.
+        let part = self.chance.below(1_000_000) as f64 / 1_000_000.0;
         let watch = self.watch(beat);
         if !cold {
             watch.gentle = None;
             return true;
         }
         let bucket = watch.gentle.get_or_insert(GentleBucket {
-            tokens: 0.0,
+            tokens: part,
             filled_at: now,
         });
         bucket.fill(now, rate);
--- a/crates/caperworks/tests/policy_stories.rs
+++ b/crates/caperworks/tests/policy_stories.rs
@@ -589,3 +589,39 @@
     let missing = shard.choose(millis(2000), &bench.known, &own, &route(), None, &[]);
     assert_eq!(missing, Err(Mishap::MissingKey));
 }
+
+#[test]
+fn given_many_proxies_that_see_an_instance_cold_at_once_then_they_never_send_together() {
+    let mut bench = Bench::new(ProxyPolicy::default());
+    let mut cold = beat("cold", "e1");
+    cold.cold_left = millis(60_000);
+    bench.told(Duration::ZERO, &[cold]);
+    bench.known.proxies = 24;
+    let own = Area::new("e1");
+    let mut shards: Vec<PoolShard> = (0..24).map(|seed| PoolShard::new(seed * 77 + 5)).collect();
+    let mut sent: Vec<u64> = Vec::new();
+    for step in 0..1000 {
+        let now = millis(step * 10);
+        for shard in &mut shards {
+            if let Ok(target) = shard.choose(now, &bench.known, &own, &route(), None, &[]) {
+                shard.begin(now, &target);
+                shard.end(now, &target, true, Some(0));
+                sent.push(step * 10);
+            }
+        }
+    }
+    // Why this bound: ten a second and half as many again; 24 at once when they keep in step.
+    let most = (0..10_000)
+        .step_by(10)
+        .map(|from| {
+            sent.iter()
+                .filter(|at| (from..from + 1000).contains(*at))
+                .count()
+        })
+        .max();
+    assert!(
+        most.is_some_and(|most| most <= 16),
+        "{most:?} in one second"
+    );
+    assert!(sent.len() >= 80, "{} in ten seconds", sent.len());
+}
