Take back the sooner questions of proxies that know nothing

The cause was wrong in part: ready 0.2 s earlier, a proxy still knows only the instances that have beaten since, and sends them everything. What the two seconds after a start of everything need is that instances are known at once.

--- a/crates/caperworks/src/link.rs
+++ b/crates/caperworks/src/link.rs
@@ -5,8 +5,6 @@
 pub const RENEW_PERIOD: Duration = Duration::from_millis(300);
 /// For how long a number of proxies that was told counts.
 const PROXIES_SPAN: Duration = Duration::from_secs(10);
-/// How soon a node that knows nothing yet asks again.
-const FIRST_RENEWALS: Duration = Duration::from_millis(100);
 /// A ledger that has not answered for this long is left for another.
 const PATIENCE: Duration = Duration::from_millis(800);
 
@@ -119,9 +117,7 @@
 
     /// The next renewal, and to whom.
     pub fn renew(&mut self, now: Duration, member: Member) -> (SocketAddr, Message) {
-        // Why sooner while nothing is known: a node that was just started can do nothing until then.
-        let known = self.shelf.follower().book(BookName::Cohort).edition > Edition(0);
-        self.renew_at = now + if known { RENEW_PERIOD } else { FIRST_RENEWALS };
+        self.renew_at = now + RENEW_PERIOD;
         let renewal = Renewal {
             number: self.permit.renew(now),
             member,
--- a/crates/playout/src/daemon.rs
+++ b/crates/playout/src/daemon.rs
@@ -2,21 +2,6 @@
 
 use crate::prelude::*;
 
-/// How soon a proxy that knows nothing yet asks its agent again.
-const FIRST_PULLS: Duration = Duration::from_millis(50);
-
-/// How long a proxy waits before it asks its agent again.
-///
-/// Why sooner while it cannot carry anything: after all processes were killed at once, the agent may
-/// begin to listen just after the first question, and every caller waits for the next.
-pub fn pull_pause(knowledge: &ProxyKnowledge, period: Duration) -> Duration {
-    let knows_orders = knowledge.books.book(BookName::Standing).edition > Edition(0);
-    match knows_orders && !knowledge.instances.is_empty() {
-        true => period,
-        false => period.min(FIRST_PULLS),
-    }
-}
-
 /// Asks the agent again and again what the world is like.
 fn start_pulling(
     carrier: Arc<Carrier>,
@@ -28,8 +13,11 @@
     tokio::spawn(async move {
         let mut number = 0;
         let life = fresh_seed();
+        let mut beat = tokio::time::interval(period);
+        beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut was_ready = false;
         loop {
+            beat.tick().await;
             number += 1;
             let ready = carrier.is_ready();
             if ready != was_ready {
@@ -60,8 +48,6 @@
                 }
             }
             port.send(agent, Message::Pull { pull });
-            let knowledge = carrier.knowledge();
-            tokio::time::sleep(pull_pause(&knowledge, period)).await;
         }
     });
 }
