Silent instances go on serving while they answer, and most are never let go at once

Cause: an instance whose heartbeats no controller takes was let go by every proxy after its span, even while its requests succeeded; nothing bounded how many at once. Ruled out: evidence gathered at the controllers (a message for each proxy and instance), and a bound that does not look at failures (a lost zone would go on getting requests).

Change: agents count such instances as silent and tell their proxies; a proxy goes on with one that answered less than 2 s ago and has not failed since; if more than half of a service is silent, the others are a last resort until their first failure.

Existing expectations of when an instance counts as gone are unchanged.

--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -282,8 +282,8 @@
         self.ask_agents(now, outputs);
         self.link.members.expire(now);
         let gone = match self.options.proxy_serves_on {
-            true => self.link.expire_instances(now),
-            false => self.link.instances.expire(now),
+            true => self.link.count_silent_instances(now),
+            false => self.link.instances.count_silent(now),
         };
         for id in gone {
             let event = AgentEvent::InstanceGone { id };
@@ -601,6 +601,19 @@
         .filter_map(|(name, after)| self.link.feed_cache.news_after(name, after))
         .collect();
         let all = pull.agent != self.node || pull.instances_place < self.link.instances.removed();
+        let instances: Vec<Heartbeat> = match all {
+            true => self.link.instances.iter().cloned().collect(),
+            false => {
+                let changed = self.link.instances.after(now, pull.instances_place);
+                changed.into_iter().map(|heard| heard.heartbeat).collect()
+            }
+        };
+        let silent = instances
+            .iter()
+            .map(|heartbeat| &heartbeat.id)
+            .filter(|id| self.link.instances.is_silent(id))
+            .cloned()
+            .collect();
         let heard = self.link.proxies() as usize;
         // Why the whole roster out of the core's reach: who of it still serves cannot be told, and
         // what is shared among the proxies must not be shared among fewer than there are.
@@ -614,13 +627,8 @@
             number: pull.number,
             left: self.fresh_until().saturating_sub(now),
             news,
-            instances: match all {
-                true => self.link.instances.iter().cloned().collect(),
-                false => {
-                    let changed = self.link.instances.after(now, pull.instances_place);
-                    changed.into_iter().map(|heard| heard.heartbeat).collect()
-                }
-            },
+            instances,
+            silent,
             agent: self.node,
             instances_place: self.link.instances.learned(),
             all_instances: all,
--- a/crates/caperworks/src/dispatch.rs
+++ b/crates/caperworks/src/dispatch.rs
@@ -7,6 +7,7 @@
 mod request_chart;
 mod retry_budget;
 mod service_shard;
+mod silent_instances;
 mod target;
 
 pub use self::failure::*;
@@ -15,4 +16,5 @@
 pub use self::request_chart::*;
 pub use self::retry_budget::*;
 pub use self::service_shard::*;
+pub use self::silent_instances::*;
 pub use self::target::*;
--- a/crates/caperworks/src/dispatch/choice.rs
+++ b/crates/caperworks/src/dispatch/choice.rs
@@ -6,6 +6,9 @@
 /// region, beyond.
 const SPILL_LOADS: [f64; 3] = [1.25, 2.0, 2.0];
 
+/// The instances that could serve, by how near they are: in the own zone, the region, beyond.
+type Tiers<'heartbeats> = [Vec<&'heartbeats Heartbeat>; 3];
+
 impl ServiceShard {
     /// Chooses an instance: same zone first, then the region, and never beyond a home region.
     pub fn choose(
@@ -41,7 +44,8 @@
             .by_service
             .get(service_name)
             .ok_or(Failure::NoInstance)?;
-        let mut tiers: [Vec<&Heartbeat>; 3] = [Vec::new(), Vec::new(), Vec::new()];
+        let mut tiers: Tiers<'_> = Default::default();
+        let mut last_resort: Tiers<'_> = Default::default();
         for heartbeat in heartbeats {
             if heartbeat.state == InstanceState::Leaving
                 || knowledge.closed.contains(&heartbeat.zone)
@@ -58,27 +62,52 @@
                 (false, true) => 1,
                 (false, false) => 2,
             };
-            tiers[tier].push(heartbeat);
+            match self.seems_alive(now, heartbeat, knowledge) {
+                true => tiers[tier].push(heartbeat),
+                false => last_resort[tier].push(heartbeat),
+            }
         }
         if now < self.any_ejected_until {
             self.bound_ejections(now, &tiers);
         }
-        // Why near ones a second time: when all are busy, waiting near by heartbeats waiting far away.
+        // Why near ones a second time: when all are busy, waiting near by beats waiting far away.
         for spill in [SPILL_LOADS, [f64::MAX; 3]] {
-            for (tier, most) in tiers.iter().zip(spill) {
-                if let Some(heartbeat) = self.pick(now, tier, service, knowledge, most) {
-                    return Ok(target_of(heartbeat, None, None));
-                }
+            if let Some(heartbeat) = self.pick_in(now, &tiers, service, knowledge, spill) {
+                return Ok(target_of(heartbeat, None, None));
+            }
+        }
+        if knowledge.most_are_silent(service_name) {
+            for tier in &mut last_resort {
+                tier.retain(|heartbeat| self.is_last_resort(heartbeat));
+            }
+            let any_load = [f64::MAX; 3];
+            if let Some(heartbeat) = self.pick_in(now, &last_resort, service, knowledge, any_load) {
+                return Ok(target_of(heartbeat, None, None));
             }
         }
         Err(Failure::NoInstance)
     }
 
+    /// Picks in the first tier that has an instance under the load that is allowed there.
+    fn pick_in<'heartbeats>(
+        &mut self,
+        now: Duration,
+        tiers: &Tiers<'heartbeats>,
+        service: &Service,
+        knowledge: &ProxyKnowledge,
+        most_loads: [f64; 3],
+    ) -> Option<&'heartbeats Heartbeat> {
+        tiers
+            .iter()
+            .zip(most_loads)
+            .find_map(|(tier, most_load)| self.pick(now, tier, service, knowledge, most_load))
+    }
+
     /// Takes instances back when more than half of those that could serve are put aside.
     ///
     /// Why bounded: that many failures say more of the way there than of the instances, and the rest
     /// would be sunk by all the load.
-    fn bound_ejections(&mut self, now: Duration, tiers: &[Vec<&Heartbeat>; 3]) {
+    fn bound_ejections(&mut self, now: Duration, tiers: &Tiers<'_>) {
         let known: usize = tiers.iter().map(Vec::len).sum();
         let ejected = tiers
             .iter()
@@ -93,14 +122,14 @@
     }
 
     /// Picks within a tier: a cold instance whose turn has come, or the less loaded of two.
-    fn pick<'beats>(
+    fn pick<'heartbeats>(
         &mut self,
         now: Duration,
-        tier: &[&'beats Heartbeat],
+        tier: &[&'heartbeats Heartbeat],
         service: &Service,
         knowledge: &ProxyKnowledge,
         most_load: f64,
-    ) -> Option<&'beats Heartbeat> {
+    ) -> Option<&'heartbeats Heartbeat> {
         let proxies = knowledge.proxies;
         // Why the cold first when their turn has come: it comes seldom, and a cold instance that
         // is never chosen never warms.
@@ -179,6 +208,11 @@
             .keys
             .get(&key)
             .is_some_and(|watch| watch.under_way >= most || now < watch.rests_until);
+        let may_serve = self.seems_alive(now, heartbeat, knowledge)
+            || (knowledge.most_are_silent(service_name) && self.is_last_resort(heartbeat));
+        if !may_serve {
+            return Err(Failure::NoOwner);
+        }
         if (hot && !self.no_key_cap)
             || !self.has_room(now, heartbeat, service, knowledge.proxies)
             || !self.gentle_lets(now, heartbeat, service, knowledge)
--- a/crates/caperworks/src/dispatch/instance_watch.rs
+++ b/crates/caperworks/src/dispatch/instance_watch.rs
@@ -36,6 +36,8 @@
     pub(crate) reported_at: Duration,
     /// Not chosen before a heartbeat later than this one, or this moment: it could not be reached.
     pub(crate) unreached: Option<(u64, Duration)>,
+    /// When it last answered a request.
+    pub(crate) answered_at: Option<Duration>,
     pub(crate) failures: u32,
     pub(crate) ejections: u32,
     pub(crate) ejected_until: Duration,
--- a/crates/caperworks/src/dispatch/proxy_knowledge.rs
+++ b/crates/caperworks/src/dispatch/proxy_knowledge.rs
@@ -17,6 +17,8 @@
     pub table: Arc<RouteTable>,
     pub instances: BTreeMap<InstanceId, Heartbeat>,
     pub by_service: HashMap<ServiceName, Vec<Heartbeat>>,
+    /// Instances whose heartbeats have stayed away for their span, though they may still answer.
+    pub silent: BTreeSet<InstanceId>,
     pub closed: BTreeSet<Zone>,
     pub regions: BTreeMap<Zone, Region>,
     pub proxies: u32,
@@ -64,11 +66,16 @@
         }
         if view.all_instances {
             self.instances.clear();
+            self.silent.clear();
         }
         if view.all_instances || !view.instances.is_empty() {
             let told = view.instances.iter();
             self.instances
                 .extend(told.map(|heartbeat| (heartbeat.id.clone(), heartbeat.clone())));
+            for heartbeat in &view.instances {
+                self.silent.remove(&heartbeat.id);
+            }
+            self.silent.extend(view.silent.iter().cloned());
             self.by_service.clear();
             for heartbeat in self.instances.values() {
                 self.by_service
--- a/crates/caperworks/src/dispatch/service_shard.rs
+++ b/crates/caperworks/src/dispatch/service_shard.rs
@@ -27,6 +27,8 @@
     pub(crate) any_ejected_until: Duration,
     /// Only for proving the observers: one key may have all of its owner.
     pub no_key_cap: bool,
+    /// Only for proving the observers: an instance whose heartbeats stay away gets nothing.
+    pub without_passive_evidence: bool,
 }
 
 impl ServiceShard {
@@ -39,6 +41,7 @@
             chance: Chance::seeded(seed),
             any_ejected_until: Duration::ZERO,
             no_key_cap: false,
+            without_passive_evidence: false,
         }
     }
 
@@ -217,6 +220,7 @@
             watch.reported_at = now;
         }
         if good {
+            watch.answered_at = Some(now);
             watch.failures = 0;
             watch.ejections = 0;
             return;
--- a/crates/caperworks/src/link.rs
+++ b/crates/caperworks/src/link.rs
@@ -107,10 +107,11 @@
         self.assured_since = None;
     }
 
-    /// Takes out the instances that have not been heard of; none while no controller could tell of them.
+    /// Counts the instances that have not been heard of as silent, and names those that just became
+    /// so; none while no controller could tell of them.
     ///
     /// Why: while the core is out of reach nobody's silence means anything.
-    pub fn expire_instances(&mut self, now: Duration) -> Vec<InstanceId> {
+    pub fn count_silent_instances(&mut self, now: Duration) -> Vec<InstanceId> {
         let span = self.instances.span;
         if now.saturating_sub(self.answered_at) >= PATIENCE {
             self.assured_since = None;
@@ -119,7 +120,7 @@
             .assured_since
             .is_some_and(|since| now.saturating_sub(since) >= span);
         if heard_long {
-            self.instances.expire(now)
+            self.instances.count_silent(now)
         } else {
             Vec::new()
         }
--- a/crates/caperworks/src/messages.rs
+++ b/crates/caperworks/src/messages.rs
@@ -86,6 +86,8 @@
         9 all_instances: bool,
         /// For how much longer an agent without a lease takes the core's silence for a slow link.
         10 link_slow_for: Duration,
+        /// Those of the instances told here whose heartbeats have stayed away for their span.
+        11 silent: Vec<InstanceId>,
     }
 
     enum Message {
--- a/crates/caperworks/tests/dispatch_stories.rs
+++ b/crates/caperworks/tests/dispatch_stories.rs
@@ -155,6 +155,7 @@
         instances_place: 1,
         all_instances: true,
         link_slow_for: Duration::ZERO,
+        silent: Vec::new(),
         number: 1,
         left: millis(3000),
         news: vec![ConsensusMessage::Whole {
@@ -414,6 +415,7 @@
         instances_place: 1,
         all_instances: true,
         link_slow_for: Duration::ZERO,
+        silent: Vec::new(),
         number,
         left: millis(3000),
         news: Vec::new(),
@@ -493,6 +495,7 @@
         instances_place: number,
         all_instances: false,
         link_slow_for: Duration::ZERO,
+        silent: Vec::new(),
         number,
         left: millis(60_000),
         news,
--- a/crates/caperworks/tests/fact_stories.rs
+++ b/crates/caperworks/tests/fact_stories.rs
@@ -288,6 +288,7 @@
         instances_place: number,
         all_instances: all,
         link_slow_for: Duration::ZERO,
+        silent: Vec::new(),
         number,
         left: millis(3000),
         news: Vec::new(),
--- a/crates/caperworks/tests/gone_stories.rs
+++ b/crates/caperworks/tests/gone_stories.rs
@@ -159,7 +159,7 @@
             link.granted(now, NodeId(1), &grant(number, assured));
         }
     }
-    link.expire_instances(now)
+    link.count_silent_instances(now)
 }
 
 #[test]
--- a/crates/caperworks/tests/policy_stories.rs
+++ b/crates/caperworks/tests/policy_stories.rs
@@ -121,6 +121,7 @@
             instances_place: 1,
             all_instances: true,
             link_slow_for: self.link_slow_for,
+            silent: Vec::new(),
             number: self.views,
             left: millis(3000),
             configuration: whole.version,
--- a/crates/proxy/tests/support/fixture.rs
+++ b/crates/proxy/tests/support/fixture.rs
@@ -190,6 +190,7 @@
             instances_place: 1,
             all_instances: true,
             link_slow_for: Duration::ZERO,
+            silent: Vec::new(),
             number: 1,
             left: Duration::from_secs(3600),
             news: vec![ConsensusMessage::Whole {
--- a/crates/runtime/src/events.rs
+++ b/crates/runtime/src/events.rs
@@ -42,7 +42,7 @@
     205 Error DISK_REFUSED "The disk refused a write: this controller does not vote until a whole slot is written.";
     206 Info DISK_WELL "A whole slot was written after a refusal: this controller votes again.";
     207 Error DISK_DAMAGED "What was synced is not all there: this controller starts as an empty one and is no voter any more.";
-    208 Warn INSTANCE_GONE "An instance was not heard of for the span of a heartbeat and counts as gone.";
+    208 Warn INSTANCE_GONE "An instance was not heard of for the span of a heartbeat: a controller counts it as gone, an agent as silent, so that its proxy goes on with it only while it answers.";
     209 Warn MEMBER_GONE "A member did not renew its lease and counts as gone.";
     210 Info VOTER_WANTED "The holder of the voter management role asks for a change of voters.";
     211 Warn VOTER_REFUSED "A change of voters was due but would leave fewer living voters than a majority.";
--- a/crates/simulator/src/actors/proxy.rs
+++ b/crates/simulator/src/actors/proxy.rs
@@ -31,6 +31,8 @@
     NoKeyCap,
     /// Keeps a refusal to itself until the deadline is near.
     HoldsRefusals,
+    /// Sends nothing to an instance whose heartbeats stay away, though it answers.
+    BelievesSilence,
 }
 
 pub struct SimProxy {
@@ -227,6 +229,7 @@
         self.shards.entry(route.service.clone()).or_insert_with(|| {
             let mut shard = ServiceShard::new(seed ^ steady_hash(route.service.as_str()));
             shard.no_key_cap = self.broken == BrokenProxy::NoKeyCap;
+            shard.without_passive_evidence = self.broken == BrokenProxy::BelievesSilence;
             shard
         });
         let number = request.number;
--- a/crates/simulator/tests/coverage.rs
+++ b/crates/simulator/tests/coverage.rs
@@ -100,7 +100,12 @@
 fn given_the_pages_when_they_name_a_proof_then_it_is_there_and_every_day_is_named() {
     let proofs = Proofs::gather();
     let mut days = BTreeSet::new();
-    for name in ["brief-coverage.md", "guarantees.md"] {
+    let pages = [
+        "brief-coverage.md",
+        "guarantees.md",
+        "design-notes/control-under-faults.md",
+    ];
+    for name in pages {
         let page = page(name);
         assert!(named(&page).len() > 30, "{name} names too little");
         let missing = proofs.missing(&page);
--- a/crates/simulator/tests/observers.rs
+++ b/crates/simulator/tests/observers.rs
@@ -255,3 +255,10 @@
         day.broken_island = BrokenIsland::Forgetful
     });
 }
+
+#[test]
+fn given_proxies_that_believe_silence_alone_when_heartbeats_are_cut_off_then_it_is_seen() {
+    is_caught("heartbeats-cut", Line::NotRecovered, |day| {
+        day.broken_proxy = BrokenProxy::BelievesSilence
+    });
+}
