Proxy: freezes and news at every step of a request, through the whole proxy

Ruled out: freezing a process, which strikes at no chosen step. Change: a clock whose looks bring an interruption about, for tests; it strikes at each look in turn (lease over, instance leaving, instance ended; short body and upload). Nothing left and 503 at the first four looks or more, one arrival from then on. A proxy that ignores the check at the first byte is seen. The clock has a module of its own.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -169,6 +169,9 @@
         let (proxy, route, target) = (self.clone(), route.clone(), target.clone());
         Box::new(move || {
             let now = proxy.clock.now();
+            if proxy.broken == BrokenCarrier::IgnoresLastCheck {
+                return Ok(());
+            }
             if now >= deadline {
                 return Err(Failure::LateBeforeSending);
             }
--- a/crates/proxy/src/carrier.rs
+++ b/crates/proxy/src/carrier.rs
@@ -21,6 +21,8 @@
     EndsCutAnswers,
     /// Further attempts are not bounded by the budget.
     NoBudget,
+    /// What the last check says where the first byte is written does not count.
+    IgnoresLastCheck,
 }
 
 pub struct Carrier {
--- a/crates/proxy/tests/support/fixture.rs
+++ b/crates/proxy/tests/support/fixture.rs
@@ -4,6 +4,8 @@
 
 /// How long a request may take; silence costs as much.
 const ROUTE_DEADLINE: Duration = Duration::from_millis(500);
+/// How long a proxy's knowledge counts as fresh.
+pub const LEASE: Duration = Duration::from_secs(3600);
 const BODY_LIMIT: u64 = 1_000_000;
 pub const SERVICE: &str = "records";
 
@@ -115,7 +117,7 @@
     map
 }
 
-fn instance(number: usize, address: SocketAddr) -> Heartbeat {
+pub fn instance(number: usize, address: SocketAddr) -> Heartbeat {
     Heartbeat {
         id: InstanceId::new(format!("instance-{number}")),
         incarnation: Incarnation(1),
@@ -165,6 +167,27 @@
     listener.local_addr().expect("it has an address")
 }
 
+/// A view that tells of these instances, and of no others; its lease lives for [`LEASE`].
+pub fn view(number: u64, instances: Vec<Heartbeat>) -> ProxyView {
+    ProxyView {
+        agent: NodeId(1),
+        instances_place: number,
+        all_instances: true,
+        link_slow_for: Duration::ZERO,
+        silent: Vec::new(),
+        number,
+        left: LEASE,
+        news: vec![ConsensusMessage::Whole {
+            map: MapName::Configuration,
+            whole: configuration(),
+        }],
+        instances,
+        proxies: 1,
+        configuration: Version(1),
+        ownership: Version(0),
+    }
+}
+
 /// A proxy that serves, and knows of instances at these addresses.
 pub struct ProxyFixture {
     pub address: SocketAddr,
@@ -178,32 +201,26 @@
         dialect: Dialect,
         broken: BrokenCarrier,
         instances: &[SocketAddr],
+    ) -> Self {
+        Self::start_by(Clock::start(), seed, dialect, broken, instances).await
+    }
+
+    /// The same by a clock that may be interrupted.
+    pub async fn start_by(
+        clock: Clock,
+        seed: u64,
+        dialect: Dialect,
+        broken: BrokenCarrier,
+        instances: &[SocketAddr],
     ) -> Self {
         let listener = listen_for(seed).await;
         let address = address_of(&listener);
-        let mut carrier = Carrier::new(Clock::start(), &place(address), dialect);
+        let mut carrier = Carrier::new(clock, &place(address), dialect);
         carrier.broken = broken;
         let carrier = Arc::new(carrier);
         let heartbeats = instances.iter().enumerate();
-        let view = ProxyView {
-            agent: NodeId(1),
-            instances_place: 1,
-            all_instances: true,
-            link_slow_for: Duration::ZERO,
-            silent: Vec::new(),
-            number: 1,
-            left: Duration::from_secs(3600),
-            news: vec![ConsensusMessage::Whole {
-                map: MapName::Configuration,
-                whole: configuration(),
-            }],
-            instances: heartbeats
-                .map(|(number, address)| instance(number, *address))
-                .collect(),
-            proxies: 1,
-            configuration: Version(1),
-            ownership: Version(0),
-        };
+        let heartbeats = heartbeats.map(|(number, address)| instance(number, *address));
+        let view = view(1, heartbeats.collect());
         carrier.take(carrier.clock.now(), &view);
         let carrying = carrier.clone();
         let stop = Arc::new(AtomicBool::new(false));
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -3,6 +3,7 @@
 pub mod behaviour;
 pub mod client;
 pub mod fixture;
+mod interruptions;
 pub mod journal;
 pub mod prelude;
 pub mod schedule;
--- a/crates/runtime/src/actor.rs
+++ b/crates/runtime/src/actor.rs
@@ -1,39 +1,7 @@
-//! The actor that a daemon's state machine works in, and the clock it works by.
+//! The actor that a daemon's state machine works in.
 
 use crate::prelude::*;
 
-/// Monotonic time since the process began.
-#[derive(Debug, Clone, Copy)]
-pub struct Clock {
-    start: Duration,
-}
-
-/// Time since the machine was booted, with all the time that it was suspended.
-///
-/// Why not the library's monotonic clock: it stands still while a machine sleeps, and a lease or a
-/// hold would live on after the nap as if it had not happened.
-fn boot_time() -> Duration {
-    let mut time = libc::timespec {
-        tv_sec: 0,
-        tv_nsec: 0,
-    };
-    // SAFETY: the call only writes into the place given, which lives until it returns.
-    let answer = unsafe { libc::clock_gettime(libc::CLOCK_BOOTTIME, &mut time) };
-    // Why an invariant: nothing here is safe without a clock, and every kernel since 2.6.39 has it.
-    assert_eq!(answer, 0, "the machine has no boot-time clock");
-    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
-}
-
-impl Clock {
-    pub fn start() -> Self {
-        Self { start: boot_time() }
-    }
-
-    pub fn now(&self) -> Duration {
-        boot_time().saturating_sub(self.start)
-    }
-}
-
 /// A seed for chance that differs from one process to the next.
 pub fn fresh_seed() -> u64 {
     let state = std::collections::hash_map::RandomState::new();
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,6 +1,7 @@
 //! What the caperworks daemons share: connections between them, HTTP, disk, options, events.
 
 pub mod actor;
+pub mod clock;
 pub mod connections;
 pub mod disk;
 pub mod events;
--- a/crates/runtime/src/prelude.rs
+++ b/crates/runtime/src/prelude.rs
@@ -29,6 +29,7 @@
 pub use tokio::sync::{mpsc, oneshot, Notify};
 
 pub use crate::actor::*;
+pub use crate::clock::*;
 pub use crate::connections::*;
 pub use crate::disk::*;
 pub use crate::events;
