--- a/crates/caperworks/src/instances.rs
+++ b/crates/caperworks/src/instances.rs
@@ -54,7 +54,11 @@
             return false;
         }
         if let Some(kept) = self.known.get(&heard.heartbeat.id) {
-            if !heard.heartbeat.newer_than(&kept.fact) {
+            // Why whatever its number: incarnations come from wall clocks, which may be set back, and
+            // this one was heard after the other had been silent for its span.
+            let is_another_life = heard.heartbeat.incarnation != kept.fact.incarnation;
+            let outlived = is_another_life && self.silent.contains(&heard.heartbeat.id);
+            if !outlived && !heard.heartbeat.newer_than(&kept.fact) {
                 return false;
             }
         }
--- a/crates/caperworks/tests/silence_stories.rs
+++ b/crates/caperworks/tests/silence_stories.rs
@@ -280,3 +280,22 @@
     assert!(instances.get(&InstanceId::new("a")).is_none());
     assert!(!instances.is_silent(&InstanceId::new("a")));
 }
+
+#[test]
+fn given_a_silent_instance_when_its_next_life_has_a_lower_incarnation_then_that_one_is_taken() {
+    let mut instances = Instances::default();
+    let mut former = heard("a", 9);
+    former.heartbeat.incarnation = Incarnation(1000);
+    instances.hear(millis(1000), &former);
+    let next = heard("a", 1);
+    assert!(
+        !instances.hear(millis(2000), &next),
+        "not while it is heard"
+    );
+    instances.count_silent(millis(1000) + INSTANCE_SPAN);
+    assert!(instances.hear(millis(4100), &next));
+    let id = InstanceId::new("a");
+    let known = instances.get(&id).map(|known| known.incarnation);
+    assert_eq!(known, Some(Incarnation(1)));
+    assert!(!instances.is_silent(&id));
+}
--- a/crates/simulator/src/actors/instance.rs
+++ b/crates/simulator/src/actors/instance.rs
@@ -27,12 +27,13 @@
     pub counter: u64,
     pub leaving: bool,
     pub holdings: Holdings,
-    pub agents: Vec<usize>,
-    pub agent: usize,
+    /// The agents or controllers that hear its heartbeats, and whose turn it is.
+    pub heard_by: Vec<usize>,
+    pub turn: usize,
     pub next_heartbeat: Duration,
-    /// When each heartbeat was sent, and to which agent.
+    /// When each heartbeat was sent, and to whom.
     pub heartbeat_sent: HashMap<u64, (Duration, usize)>,
-    /// The last stamp of each agent, and since when we have it.
+    /// The last stamp of each that heard it, and since when we have it.
     pub stamps: HashMap<usize, (Stamp, Duration)>,
     pub unheard: u32,
     pub work: Slab<Work>,
@@ -45,6 +46,17 @@
 }
 
 impl SimInstance {
+    /// Takes its heartbeats to the next that may hear them.
+    pub fn turn_to_next(&mut self) {
+        self.turn = (self.turn + 1) % self.heard_by.len();
+    }
+
+    /// Takes its heartbeats to the one at this place, if it may.
+    pub fn turn_to(&mut self, place: usize) {
+        let turn = self.heard_by.iter().position(|hearer| *hearer == place);
+        self.turn = turn.unwrap_or(self.turn);
+    }
+
     /// Says from now on that it is leaving, and says it at once.
     pub fn leave(&mut self) {
         self.leaving = true;
--- a/crates/simulator/src/day.rs
+++ b/crates/simulator/src/day.rs
@@ -116,6 +116,8 @@
     pub broken_controller: Broken,
     pub broken_proxy: BrokenProxy,
     pub broken_island: BrokenIsland,
+    /// Instances heartbeat to the controllers, and not to agents.
+    pub heartbeats_to_controllers: bool,
     pub careless_agents: bool,
     pub careless_instances: bool,
     /// Only for proving the observers: clocks stand still while a process is frozen.
@@ -196,6 +198,7 @@
             "disk_ms",
             "served_at_least",
             "kept_at_least",
+            "heartbeats_to",
         ];
         let known_of_fault = [
             "at_ms",
@@ -259,6 +262,11 @@
         if seeds.is_empty() {
             fault("seeds".to_string(), "list at least one seed".to_string());
         }
+        let heartbeats_to = &value["heartbeats_to"];
+        if !heartbeats_to.is_null() && heartbeats_to != "controllers" {
+            let remedy = "say controllers, or leave it out: then agents hear them".to_string();
+            fault("heartbeats_to".to_string(), remedy);
+        }
         let deployed = value["deployment"].as_str().unwrap_or("tallowgum");
         match deployment(deployed) {
             Err(remedy) => fault("deployment".to_string(), remedy),
@@ -308,6 +316,7 @@
             broken_controller: Broken::Nothing,
             broken_proxy: BrokenProxy::Nothing,
             broken_island: BrokenIsland::Nothing,
+            heartbeats_to_controllers: value["heartbeats_to"] == "controllers",
             careless_agents: false,
             careless_instances: false,
             clocks_stop_asleep: false,
--- a/crates/simulator/src/network.rs
+++ b/crates/simulator/src/network.rs
@@ -65,7 +65,11 @@
         let consensus = vote
             || matches!(
                 message,
-                Message::RoundAsk { .. } | Message::RoundAnswer { .. } | Message::Facts { .. }
+                Message::RoundAsk { .. }
+                    | Message::RoundAnswer { .. }
+                    | Message::Facts { .. }
+                    | Message::ConfirmFact { .. }
+                    | Message::FactConfirmed { .. }
             );
         let parted = from != to && (self.parted.contains(&from) || self.parted.contains(&to));
         (vote && self.deaf.contains(&to)) || (consensus && parted)
--- a/crates/simulator/src/world/agents.rs
+++ b/crates/simulator/src/world/agents.rs
@@ -23,14 +23,13 @@
                 instance,
                 instance_life,
             } => {
-                self.next_ticket += 1;
-                let ticket = self.next_ticket;
                 let owed = HeartbeatTicket {
                     instance,
                     instance_life,
                     number,
+                    leaves: heartbeat.state == InstanceState::Leaving,
                 };
-                self.tickets.insert((place, ticket), owed);
+                let ticket = self.owe_heartbeat_answer(place, owed);
                 Some(AgentInput::Heartbeat {
                     ticket,
                     heartbeat: *heartbeat,
@@ -46,6 +45,34 @@
         self.carry_out_agent(place, outputs);
     }
 
+    /// Notes which instance an answer to its heartbeat is owed to; gives the ticket for it.
+    pub(super) fn owe_heartbeat_answer(&mut self, place: usize, owed: HeartbeatTicket) -> u64 {
+        self.next_ticket += 1;
+        self.tickets.insert((place, self.next_ticket), owed);
+        self.next_ticket
+    }
+
+    /// Whether this ticket of a node is for an answer to a heartbeat.
+    pub(super) fn is_heartbeat_ticket(&self, place: usize, ticket: u64) -> bool {
+        self.tickets.contains_key(&(place, ticket))
+    }
+
+    /// Sends an instance the answer to its heartbeat, unless it lives another life by now.
+    pub(super) fn answer_heartbeat(
+        &mut self,
+        place: usize,
+        ticket: u64,
+        answer: Option<DatedAnswer>,
+    ) -> Option<HeartbeatTicket> {
+        let owed = self.tickets.remove(&(place, ticket))?;
+        if self.nodes[owed.instance].life == owed.instance_life {
+            let number = owed.number;
+            let answered = Happening::HeartbeatAnswered { number, answer };
+            self.send(place, owed.instance, answered);
+        }
+        Some(owed)
+    }
+
     fn carry_out_agent(&mut self, place: usize, outputs: Vec<AgentOutput>) {
         for output in outputs {
             match output {
@@ -53,16 +80,7 @@
                     self.send_control(place, to, message);
                 }
                 AgentOutput::AnswerHeartbeat { ticket, answer } => {
-                    if let Some(owed) = self.tickets.remove(&(place, ticket)) {
-                        if self.nodes[owed.instance].life == owed.instance_life {
-                            let number = owed.number;
-                            self.send(
-                                place,
-                                owed.instance,
-                                Happening::HeartbeatAnswered { number, answer },
-                            );
-                        }
-                    }
+                    self.answer_heartbeat(place, ticket, answer);
                 }
                 AgentOutput::Stopped => self.end(place, false),
                 AgentOutput::Note { .. } | AgentOutput::AnswerUsage { .. } => {}
--- a/crates/simulator/src/world/bodies.rs
+++ b/crates/simulator/src/world/bodies.rs
@@ -24,7 +24,7 @@
                 service,
                 capacity,
                 work_span,
-                agents,
+                heard_by,
             } => Body::Instance(Box::new(SimInstance {
                 id: InstanceId::new(&node.name),
                 service: service.clone(),
@@ -37,8 +37,8 @@
                 counter: 0,
                 leaving: false,
                 holdings: Holdings::default(),
-                agents: agents.clone(),
-                agent: 0,
+                heard_by: heard_by.clone(),
+                turn: 0,
                 next_heartbeat: Duration::ZERO,
                 heartbeat_sent: HashMap::new(),
                 stamps: HashMap::new(),
@@ -55,9 +55,11 @@
 
     fn controller_of(&mut self, place: usize, seed: u64) -> (Body, Vec<ControllerOutput>) {
         let node = &self.nodes[place];
-        let options = ControllerOptions::new(node.address, node.zone.clone(), self.seeds.clone())
-            .disk_room(8 * 1024 * 1024, 64 * 1024)
-            .broken(self.day.broken_controller);
+        let mut options =
+            ControllerOptions::new(node.address, node.zone.clone(), self.seeds.clone())
+                .disk_room(8 * 1024 * 1024, 64 * 1024)
+                .broken(self.day.broken_controller);
+        options.core.stamped_heartbeats = !self.day.heartbeats_to_controllers;
         let (machine, first) = ControllerMachine::start(options, &node.disk.synced, seed);
         self.observers.controller_back(machine.node());
         (Body::Controller(Box::new(machine)), first)
--- a/crates/simulator/src/world/controllers.rs
+++ b/crates/simulator/src/world/controllers.rs
@@ -27,6 +27,26 @@
                 self.nodes[place].disk.sync(ticket);
                 Some(ControllerInput::Synced { ticket })
             }
+            Happening::HeartbeatTarget {
+                heartbeat,
+                echo,
+                number,
+                instance,
+                instance_life,
+            } => {
+                let owed = HeartbeatTicket {
+                    instance,
+                    instance_life,
+                    number,
+                    leaves: heartbeat.state == InstanceState::Leaving,
+                };
+                let ticket = self.owe_heartbeat_answer(place, owed);
+                Some(ControllerInput::Heartbeat {
+                    ticket,
+                    heartbeat: *heartbeat,
+                    echo,
+                })
+            }
             Happening::Synced {
                 ticket,
                 well: false,
@@ -76,6 +96,10 @@
 
     /// Takes the answer to an operator; says whether a change was accepted.
     fn take_answer(&mut self, place: usize, ticket: u64, answer: OperatorAnswer) -> bool {
+        if self.is_heartbeat_ticket(place, ticket) {
+            self.take_heartbeat_answer(place, ticket, answer);
+            return false;
+        }
         if let OperatorAnswer::ProposalOutcome { proposal_outcome } = answer {
             let Some(change) = self.operator_calls.remove(&ticket) else {
                 return false;
@@ -97,6 +121,23 @@
         false
     }
 
+    /// Passes on a controller's answer to an instance that sent its heartbeat there.
+    fn take_heartbeat_answer(&mut self, place: usize, ticket: u64, answer: OperatorAnswer) {
+        let answer = match answer {
+            OperatorAnswer::Heartbeat { answer } => Some(answer),
+            _ => None,
+        };
+        let is_acknowledged = answer.is_some();
+        let owed = self.answer_heartbeat(place, ticket, answer);
+        let Some(owed) = owed.filter(|owed| is_acknowledged && owed.leaves) else {
+            return;
+        };
+        if let Some(Body::Instance(instance)) = &self.nodes[owed.instance].body {
+            let heartbeat = instance.says(self.now);
+            self.observers.heard_leaving(self.now, &heartbeat);
+        }
+    }
+
     /// Shows the observers an event, and what a controller holds since a map moved.
     fn note_event(&mut self, place: usize, event: Event) {
         let node = &self.nodes[place];
--- a/crates/simulator/src/world/events.rs
+++ b/crates/simulator/src/world/events.rs
@@ -89,4 +89,6 @@
     pub instance: usize,
     pub instance_life: u64,
     pub number: u64,
+    /// Whether the heartbeat said that the instance leaves.
+    pub leaves: bool,
 }
--- a/crates/simulator/src/world/instances.rs
+++ b/crates/simulator/src/world/instances.rs
@@ -20,6 +20,11 @@
                 Some(self.next_heartbeat(place, local, &mut instance))
             }
             Happening::HeartbeatAnswered { number, answer } => {
+                let named = answer.as_ref().and_then(|dated| dated.answer.owner_manager);
+                let owner_manager = named.and_then(|named| self.by_address.get(&named));
+                if let Some(owner_manager) = owner_manager {
+                    instance.turn_to(*owner_manager);
+                }
                 take_heartbeat_answer(local, &mut instance, number, answer);
                 None
             }
@@ -33,7 +38,7 @@
         }
     }
 
-    /// The next heartbeat, and the place of the agent that it goes to.
+    /// The next heartbeat, and the place that it goes to.
     fn next_heartbeat(
         &self,
         place: usize,
@@ -47,12 +52,12 @@
             .heartbeat_sent
             .retain(|_, (sent, _)| *sent >= oldest);
         if instance.heartbeat_sent.len() < before {
-            // Why turn: a heartbeat that nobody answered is taken to another agent.
-            instance.agent = (instance.agent + 1) % instance.agents.len();
+            // Why turn: a heartbeat that nobody answered is taken to another.
+            instance.turn_to_next();
         }
         let heartbeat = Box::new(instance.heartbeat(local));
         let number = heartbeat.counter;
-        let to = instance.agents[instance.agent];
+        let to = instance.heard_by[instance.turn];
         instance.heartbeat_sent.insert(number, (local, to));
         let echo = instance.stamps.get(&to).map(|(stamp, since)| Echo {
             stamp: *stamp,
@@ -191,18 +196,18 @@
     number: u64,
     answer: Option<DatedAnswer>,
 ) {
-    let Some((sent, agent)) = instance.heartbeat_sent.remove(&number) else {
+    let Some((sent, hearer)) = instance.heartbeat_sent.remove(&number) else {
         return;
     };
     match answer {
         Some(dated) => {
             instance.holdings.answered(sent, &dated.answer);
-            instance.stamps.insert(agent, (dated.stamp, local));
+            instance.stamps.insert(hearer, (dated.stamp, local));
             if dated.again {
                 instance.next_heartbeat = local;
             }
         }
-        None => instance.agent = (instance.agent + 1) % instance.agents.len(),
+        None => instance.turn_to_next(),
     }
 }
 
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -65,6 +65,11 @@
     seeds: Vec<SocketAddr>,
 }
 
+/// The tickets of heartbeats begin here.
+///
+/// Why so high: controllers are called by operators as well, under tickets of their own.
+const FIRST_HEARTBEAT_TICKET: u64 = 1 << 32;
+
 impl World {
     /// The world of a scenario at the beginning of a day.
     pub fn new(scenario: Scenario, day: Day, seed: u64) -> Self {
@@ -96,7 +101,7 @@
             queued: 0,
             next_request: 0,
             tickets: HashMap::new(),
-            next_ticket: 0,
+            next_ticket: FIRST_HEARTBEAT_TICKET,
             operator_calls: HashMap::new(),
             proposal_outcomes: HashMap::new(),
             next_call: 0,
--- a/crates/simulator/src/world/nodes.rs
+++ b/crates/simulator/src/world/nodes.rs
@@ -25,7 +25,7 @@
         service: ServiceName,
         capacity: u32,
         work_span: Duration,
-        agents: Vec<usize>,
+        heard_by: Vec<usize>,
     },
 }
 
@@ -59,6 +59,22 @@
     SocketAddr::from(([10, 0, (place / 200) as u8, (place % 200) as u8 + 1], 7000))
 }
 
+/// The most nodes that one instance takes its heartbeats to.
+const MOST_HEARERS: usize = 4;
+/// How far apart they are in the list of all.
+const HEARER_STEP: usize = 3;
+
+/// The nodes that hear an instance's heartbeats: a few out of many, or all of a few.
+fn hearers_of(number: usize, hearers: &[usize]) -> Vec<usize> {
+    let step = match hearers.len() > MOST_HEARERS {
+        true => HEARER_STEP,
+        false => 1,
+    };
+    (0..hearers.len().min(MOST_HEARERS))
+        .map(|turn| hearers[(number + turn * step) % hearers.len()])
+        .collect()
+}
+
 impl World {
     /// Adds a node that does not run yet.
     pub(super) fn add(&mut self, name: String, zone: &str, kind: Kind) -> usize {
@@ -91,24 +107,31 @@
     /// Makes all nodes of the scenario and starts them within a moment.
     pub(super) fn lay_out(&mut self) {
         let scenario = self.scenario.clone();
-        self.add_controllers(&scenario);
+        let controllers = self.add_controllers(&scenario);
         let agents = self.add_agents_and_proxies(&scenario);
         for (number, zone) in scenario.directories.iter().enumerate() {
             self.add(format!("directory-{}", number + 1), zone, Kind::Directory);
         }
-        self.add_instances(&scenario, &agents);
+        let hearers = match self.day.heartbeats_to_controllers {
+            true => controllers,
+            false => agents,
+        };
+        self.add_instances(&scenario, &hearers);
         for place in 0..self.nodes.len() {
             self.start(place);
         }
     }
 
-    fn add_controllers(&mut self, scenario: &Scenario) {
+    fn add_controllers(&mut self, scenario: &Scenario) -> Vec<usize> {
+        let mut controllers = Vec::new();
         for (number, zone) in scenario.controllers.iter().enumerate() {
             let place = self.add(format!("controller-{}", number + 1), zone, Kind::Controller);
+            controllers.push(place);
             if number < 3 {
                 self.seeds.push(address_of(place));
             }
         }
+        controllers
     }
 
     fn add_agents_and_proxies(&mut self, scenario: &Scenario) -> Vec<usize> {
@@ -127,7 +150,7 @@
         agents
     }
 
-    fn add_instances(&mut self, scenario: &Scenario, agents: &[usize]) {
+    fn add_instances(&mut self, scenario: &Scenario, hearers: &[usize]) {
         for service in &scenario.services {
             for number in 0..service.instances as usize {
                 let zone = &scenario.zones[number % scenario.zones.len()].0;
@@ -135,9 +158,7 @@
                     service: ServiceName::new(&service.name),
                     capacity: service.capacity,
                     work_span: Duration::from_millis(service.work_ms),
-                    agents: (0..4)
-                        .map(|turn| agents[(number + turn * 3) % agents.len()])
-                        .collect(),
+                    heard_by: hearers_of(number, hearers),
                 };
                 self.add(format!("{}-{}", service.name, number + 1), zone, kind);
             }
--- a/crates/simulator/tests/observers.rs
+++ b/crates/simulator/tests/observers.rs
@@ -262,3 +262,26 @@
         day.broken_proxy = BrokenProxy::BelievesSilence
     });
 }
+
+#[test]
+fn given_a_parted_owner_manager_that_acknowledges_alone_when_instances_leave_then_it_is_seen() {
+    is_caught("owner-manager-parted", Line::ReachedLeaving, |day| {
+        day.broken_controller = Broken::LoneAcknowledgements;
+    });
+}
+
+#[test]
+fn given_a_parted_owner_manager_that_acknowledges_alone_when_proxies_believe_it_then_it_is_seen() {
+    // Why the second too: proxies that go on with instances that answer would hide the first.
+    is_caught("owner-manager-parted", Line::NotRecovered, |day| {
+        day.broken_controller = Broken::LoneAcknowledgements;
+        day.broken_proxy = BrokenProxy::BelievesSilence;
+    });
+}
+
+#[test]
+fn given_one_vote_as_a_majority_when_a_second_controller_is_lost_then_a_fork_is_seen() {
+    is_caught("second-losses", Line::ForkedMap, |day| {
+        day.broken_controller = Broken::LoneMajority;
+    });
+}
