Followers fetch large maps in pieces; a silence that did not count is no reason to forget

Cause: followers got a whole map in one message, the last way by which one message grows with the state. Ruled out: pieces for small maps too (a round trip more at each start). Change: a grant says of a map larger than a piece that it is to be fetched, and agents, directories and hollow nodes fetch it by the controllers' own transfers; agents among each other and a proxy's agent send whole maps once a second and once in 300 ms at most.

An instance that nobody could hear of for over half a minute was forgotten as soon as silence counted again, before it was silent; the span now counts from when it fell silent.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -37,6 +37,10 @@
                         event(MAP_MOVED, format!("{map} at {version}"));
                     }
                     AgentEvent::InstanceGone { id } => event(INSTANCE_GONE, id),
+                    AgentEvent::PieceRefused { refused, from } => {
+                        let RefusedPiece { map, why } = refused;
+                        event(PIECE_REFUSED, format!("{map} from {from}: {why}"));
+                    }
                 },
                 AgentOutput::AnswerUsage { ticket, lines } => self.usage.answer(ticket, lines),
                 AgentOutput::Stopped => self.stopped.notify_one(),
--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -10,6 +10,11 @@
     MapName::Ownership,
     MapName::Membership,
 ];
+/// How soon the proxy is told a whole map again.
+///
+/// Why sooner than other followers: it asks ten times a second on the same machine, and carries
+/// nothing before it has the map.
+const PROXY_MAP_PERIOD: Duration = Duration::from_millis(300);
 /// For how many hours usage is remembered.
 const USAGE_HOURS: u64 = 48;
 /// How long a polite stop waits for the witness voter to be given to another.
@@ -96,6 +101,11 @@
     InstanceGone {
         id: InstanceId,
     },
+    /// A piece of a map was refused; nothing of it is kept.
+    PieceRefused {
+        refused: RefusedPiece,
+        from: SocketAddr,
+    },
 }
 
 #[derive(Debug, Clone)]
@@ -130,6 +140,9 @@
     voter: Option<Voter>,
     /// Maps of our voting part, encoded for controllers that are behind.
     snapshots: SnapshotSender,
+    /// How often other agents and the proxy are sent whole maps.
+    agents_limit: WholeMapLimit,
+    proxy_limit: WholeMapLimit,
 }
 
 impl AgentMachine {
@@ -160,6 +173,8 @@
             beaten: BTreeSet::new(),
             voter: None,
             snapshots: SnapshotSender::default(),
+            agents_limit: WholeMapLimit::default(),
+            proxy_limit: WholeMapLimit::once_in(PROXY_MAP_PERIOD),
         }
     }
 
@@ -279,6 +294,8 @@
             let (to, message) = self.link.renew(now, member);
             outputs.push(AgentOutput::Send { to, message });
         }
+        let requests = self.link.tick_catch_up(now);
+        self.ask_for_pieces(requests, outputs);
         self.ask_agents(now, outputs);
         self.link.members.expire(now);
         let gone = match self.options.proxy_serves_on {
@@ -337,6 +354,8 @@
         match envelope.message {
             Message::Grant { granted } => {
                 let moved = self.link.granted(now, envelope.from, &granted);
+                let requests = self.link.fetch_in_pieces(now, envelope.reply_to, &granted);
+                self.ask_for_pieces(requests, outputs);
                 if moved.iter().any(|map| ISLAND_MAPS.contains(map)) {
                     // Why at once: an operator waits for our word that we hold it.
                     self.link.renew_now(now);
@@ -350,10 +369,12 @@
                         self.link.instances.hear(now, &heard.clone().aged(lain));
                     }
                 }
-                let feed_cache = &self.link.feed_cache;
+                let (feed_cache, limit) = (&self.link.feed_cache, &mut self.agents_limit);
                 let news = ISLAND_MAPS.iter().filter_map(|name| {
                     let held = ask.versions.get(name.index()).copied();
-                    feed_cache.news_after(*name, held.unwrap_or_default())
+                    feed_cache
+                        .news_after(*name, held.unwrap_or_default())
+                        .filter(|news| limit.admits(now, envelope.reply_to, news))
                 });
                 let tell = IslandTell {
                     number: ask.number,
@@ -407,7 +428,7 @@
                 });
             }
             Message::Pull { pull } => {
-                let view = self.view(now, &pull);
+                let view = self.view(now, envelope.reply_to, &pull);
                 self.count_usage(&pull);
                 self.proxy = Some((now, pull));
                 outputs.push(AgentOutput::Send {
@@ -416,6 +437,14 @@
                 });
             }
             Message::ConsensusMessage { vote } => {
+                let step = self.link.hear_catch_up(now, envelope.reply_to, &vote);
+                self.ask_for_pieces(step.request, outputs);
+                if let Some(refused) = step.refused {
+                    let from = envelope.reply_to;
+                    let event = AgentEvent::PieceRefused { refused, from };
+                    outputs.push(AgentOutput::Note { event });
+                }
+                self.maps_moved(step.moved.as_slice(), outputs);
                 let Some(voter) = &mut self.voter else {
                     return;
                 };
@@ -465,6 +494,19 @@
         }
     }
 
+    fn ask_for_pieces(
+        &self,
+        requests: impl IntoIterator<Item = CatchUpRequest>,
+        outputs: &mut Vec<AgentOutput>,
+    ) {
+        outputs.extend(requests.into_iter().map(|request| AgentOutput::Send {
+            to: request.to,
+            message: Message::ConsensusMessage {
+                vote: request.message(),
+            },
+        }));
+    }
+
     /// Remembers what the proxy says it carried.
     ///
     /// Why here: a proxy may die at any time, and its counts need not die with it.
@@ -591,15 +633,21 @@
         }
     }
 
-    fn view(&self, now: Duration, pull: &Pull) -> ProxyView {
-        let follower = self.link.feed_cache.follower();
+    fn view(&mut self, now: Duration, proxy: SocketAddr, pull: &Pull) -> ProxyView {
+        let lives_on = matches!(&self.proxy, Some((_, last)) if last.life == pull.life);
+        if !lives_on {
+            self.proxy_limit.begin_anew(proxy);
+        }
+        let (feed_cache, limit) = (&self.link.feed_cache, &mut self.proxy_limit);
         let news = [
             (MapName::Configuration, pull.configuration),
             (MapName::Ownership, pull.ownership),
         ]
         .into_iter()
-        .filter_map(|(name, after)| self.link.feed_cache.news_after(name, after))
+        .filter_map(|(name, after)| feed_cache.news_after(name, after))
+        .filter(|news| limit.admits(now, proxy, news))
         .collect();
+        let follower = feed_cache.follower();
         let all = pull.agent != self.node || pull.instances_place < self.link.instances.removed();
         let instances: Vec<Heartbeat> = match all {
             true => self.link.instances.iter().cloned().collect(),
--- a/crates/agent/tests/agent_stories.rs
+++ b/crates/agent/tests/agent_stories.rs
@@ -107,6 +107,7 @@
                 news: Vec::new(),
                 assured: core == Core::Answers,
                 gone: self.ended.clone(),
+                in_pieces: Vec::new(),
             };
             outputs.extend(self.says(now, Message::Grant { granted }));
         }
@@ -140,6 +141,11 @@
 
     /// What a proxy that asks is told.
     fn view(&mut self, now: Duration) -> ProxyView {
+        self.view_for_life(now, 1)
+    }
+
+    /// What a proxy that asks is told in one of its lives.
+    fn view_for_life(&mut self, now: Duration, life: u64) -> ProxyView {
         let pull = Pull {
             agent: NodeId(0),
             instances_place: 0,
@@ -150,7 +156,7 @@
             ready: true,
             capacity: 1,
             demand: Vec::new(),
-            life: 1,
+            life,
             usage: Vec::new(),
         };
         let outputs = self.says(now, Message::Pull { pull });
@@ -236,6 +242,7 @@
         news: Vec::new(),
         assured: true,
         gone: Vec::new(),
+        in_pieces: Vec::new(),
     }
 }
 
@@ -382,11 +389,8 @@
     votes.collect()
 }
 
-#[test]
-fn given_an_agent_that_votes_when_a_controller_is_behind_then_it_sends_pieces_and_no_whole_map() {
-    let mut bench = Bench::new(true);
-    let node = bench.machine.node();
-    let whole = |map, whole| ConsensusMessage::Whole { map, whole };
+/// Lets the core bring the agent these maps.
+fn bring(bench: &mut Bench, news: Vec<ConsensusMessage>) {
     let granted = Granted {
         proxies: 1,
         number: 0,
@@ -396,14 +400,72 @@
         instances_place: 0,
         members: Vec::new(),
         members_place: 0,
-        news: vec![
-            whole(MapName::Membership, membership_with(node)),
-            whole(MapName::Configuration, large_map()),
-        ],
+        news,
         assured: true,
         gone: Vec::new(),
+        in_pieces: Vec::new(),
     };
     bench.says(millis(50), Message::Grant { granted });
+}
+
+fn whole(map: MapName, whole: ReplicatedMap) -> ConsensusMessage {
+    ConsensusMessage::Whole { map, whole }
+}
+
+/// How many maps there are in these news.
+fn whole_maps(news: &[ConsensusMessage]) -> usize {
+    let is_whole = |news: &&ConsensusMessage| matches!(news, ConsensusMessage::Whole { .. });
+    news.iter().filter(is_whole).count()
+}
+
+#[test]
+fn given_a_proxy_that_asks_all_the_time_when_a_map_is_due_then_it_is_told_whole_now_and_then() {
+    let mut bench = Bench::new(true);
+    bring(&mut bench, vec![whole(MapName::Configuration, large_map())]);
+    let told = |bench: &mut Bench, step: u64| {
+        let view = bench.view(millis(1000 + step * 50));
+        whole_maps(&view.news)
+    };
+    let sent: usize = (0..60).map(|step| told(&mut bench, step)).sum();
+    assert_eq!(sent, 10, "once in 300 ms over three seconds");
+    let view = bench.view_for_life(millis(3960), 2);
+    assert_eq!(whole_maps(&view.news), 1, "a new life at once");
+}
+
+#[test]
+fn given_an_agent_that_asks_all_the_time_when_a_map_is_due_then_it_is_told_whole_once_a_second() {
+    let mut bench = Bench::new(true);
+    bring(&mut bench, vec![whole(MapName::Configuration, large_map())]);
+    let mut sent = 0;
+    for step in 0..50 {
+        let ask = IslandAsk {
+            number: step,
+            versions: vec![Version(0); ALL_MAPS.len()],
+            heartbeats: Vec::new(),
+        };
+        let outputs = bench.says(millis(1000 + step * 100), Message::IslandAsk { ask });
+        for output in outputs {
+            if let AgentOutput::Send {
+                message: Message::IslandTell { tell },
+                ..
+            } = output
+            {
+                sent += whole_maps(&tell.news);
+            }
+        }
+    }
+    assert_eq!(sent, 5);
+}
+
+#[test]
+fn given_an_agent_that_votes_when_a_controller_is_behind_then_it_sends_pieces_and_no_whole_map() {
+    let mut bench = Bench::new(true);
+    let node = bench.machine.node();
+    let news = vec![
+        whole(MapName::Membership, membership_with(node)),
+        whole(MapName::Configuration, large_map()),
+    ];
+    bring(&mut bench, news);
     let map = MapName::Configuration;
     let mut offset = 0;
     let mut total = u64::MAX;
--- a/crates/caperworks/src/instances.rs
+++ b/crates/caperworks/src/instances.rs
@@ -19,8 +19,9 @@
     by_address: HashMap<SocketAddr, InstanceId>,
     /// Those that said themselves that they ended, so that no late heartbeat brings them back.
     ended: BTreeMap<InstanceId, Kept<()>>,
-    /// Those of the known ones whose heartbeats stayed away for the span.
-    silent: BTreeSet<InstanceId>,
+    /// Those of the known ones whose heartbeats stayed away for the span, and since when they count
+    /// as silent.
+    silent: BTreeMap<InstanceId, Duration>,
     learned: u64,
     /// One that was not heard of for this long is gone.
     pub span: Duration,
@@ -36,7 +37,7 @@
             known: BTreeMap::new(),
             by_address: HashMap::new(),
             ended: BTreeMap::new(),
-            silent: BTreeSet::new(),
+            silent: BTreeMap::new(),
             learned: 0,
             span: INSTANCE_SPAN,
             refresh: Duration::ZERO,
@@ -57,7 +58,7 @@
             // Why whatever its number: incarnations come from wall clocks, which may be set back, and
             // this one was heard after the other had been silent for its span.
             let is_another_life = heard.heartbeat.incarnation != kept.fact.incarnation;
-            let outlived = is_another_life && self.silent.contains(&heard.heartbeat.id);
+            let outlived = is_another_life && self.silent.contains_key(&heard.heartbeat.id);
             if !outlived && !heard.heartbeat.newer_than(&kept.fact) {
                 return false;
             }
@@ -91,7 +92,7 @@
             self.by_address.remove(&kept.fact.address);
         }
         self.by_address.insert(address, heard.heartbeat.id.clone());
-        let was_silent = self.silent.remove(&heard.heartbeat.id);
+        let was_silent = self.silent.remove(&heard.heartbeat.id).is_some();
         let quiet = self.known.get(&heard.heartbeat.id).filter(|kept| {
             !was_silent
                 && !heard.heartbeat.tells_other_than(&kept.fact)
@@ -171,7 +172,12 @@
     /// Takes out the instances that were not heard of for the span, and names them.
     pub fn expire(&mut self, now: Duration) -> Vec<InstanceId> {
         self.forget_ended(now);
-        self.forget_unheard(now, self.span)
+        let span = self.span;
+        let unheard = self.known.iter();
+        let unheard = unheard.filter(|(_, kept)| now.saturating_sub(kept.heard_at) >= span);
+        let gone: Vec<InstanceId> = unheard.map(|(id, _)| id.clone()).collect();
+        self.forget(&gone);
+        gone
     }
 
     /// Counts the instances that were not heard of for the span as silent, and names those that
@@ -180,14 +186,15 @@
     /// Why not taken out at once: it may be their heartbeats that are cut off, and not their answers.
     pub fn count_silent(&mut self, now: Duration) -> Vec<InstanceId> {
         self.forget_ended(now);
-        self.forget_unheard(now, self.span + SILENT_SPAN);
+        self.forget_long_silent(now);
         let span = self.span;
         let mut fell_silent = Vec::new();
         for (id, kept) in &mut self.known {
             let is_heard = now.saturating_sub(kept.heard_at) < span;
-            if is_heard || !self.silent.insert(id.clone()) {
+            if is_heard || self.silent.contains_key(id) {
                 continue;
             }
+            self.silent.insert(id.clone(), now);
             // Why a place of its own: proxies are told of what changed.
             self.learned += 1;
             kept.learned = self.learned;
@@ -199,7 +206,7 @@
 
     /// Whether the instance is known, and its heartbeats have stayed away for the span.
     pub fn is_silent(&self, id: &InstanceId) -> bool {
-        self.silent.contains(id)
+        self.silent.contains_key(id)
     }
 
     fn forget_ended(&mut self, now: Duration) {
@@ -207,22 +214,25 @@
             .retain(|_, kept| now.saturating_sub(kept.heard_at) < ENDED_SPAN);
     }
 
-    fn forget_unheard(&mut self, now: Duration, span: Duration) -> Vec<InstanceId> {
-        let mut gone = Vec::new();
-        let (by_address, silent) = (&mut self.by_address, &mut self.silent);
-        self.known.retain(|id, kept| {
-            let lives = now.saturating_sub(kept.heard_at) < span;
-            if !lives {
-                by_address.remove(&kept.fact.address);
-                silent.remove(id);
-                gone.push(id.clone());
+    /// Why counted from when it fell silent and not from when it was last heard: while the core is
+    /// out of reach nobody's silence counts, however long it lasts.
+    fn forget_long_silent(&mut self, now: Duration) {
+        let silent = self.silent.iter();
+        let over = silent.filter(|(_, since)| now.saturating_sub(**since) >= SILENT_SPAN);
+        let over: Vec<InstanceId> = over.map(|(id, _)| id.clone()).collect();
+        self.forget(&over);
+    }
+
+    fn forget(&mut self, gone: &[InstanceId]) {
+        for id in gone {
+            self.silent.remove(id);
+            if let Some(kept) = self.known.remove(id) {
+                self.by_address.remove(&kept.fact.address);
             }
-            lives
-        });
+        }
         if !gone.is_empty() {
             self.note_removal();
         }
-        gone
     }
 
     pub fn learned(&self) -> u64 {
--- a/crates/caperworks/src/link.rs
+++ b/crates/caperworks/src/link.rs
@@ -14,6 +14,23 @@
 /// How long after the last slow answer the core's silence counts as a slow link and not as a cut.
 pub const SLOW_LINK_SPAN: Duration = LEASE_SPAN;
 
+/// What followed from an answer to a question for pieces.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct CatchUpStep {
+    /// The map that moved on.
+    pub moved: Option<MapName>,
+    /// The next question.
+    pub request: Option<CatchUpRequest>,
+    pub refused: Option<RefusedPiece>,
+}
+
+/// A piece of which nothing was kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RefusedPiece {
+    pub map: MapName,
+    pub why: PieceRefusal,
+}
+
 #[derive(Debug, Clone)]
 pub struct CoreLink {
     /// The maps that this node follows; the others it need not hold.
@@ -34,6 +51,8 @@
     pub lease: LeaseHolder,
     pub instances: Instances,
     pub members: Members,
+    /// Maps that are fetched in pieces, since they are too large for a grant.
+    catch_up: CatchUpReceiver,
     /// How many proxies there were, as told of late.
     proxies: VecDeque<(Duration, u32)>,
 }
@@ -58,6 +77,7 @@
             lease: LeaseHolder::default(),
             instances: Instances::default(),
             members: Members::default(),
+            catch_up: CatchUpReceiver::new(draw, MOST_FOLLOWED_BYTES),
             proxies: VecDeque::new(),
         }
     }
@@ -214,6 +234,103 @@
         moved
     }
 
+    /// Begins to fetch the maps that a controller says are too large for its grant.
+    pub fn fetch_in_pieces(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        granted: &Granted,
+    ) -> Vec<CatchUpRequest> {
+        let wanted = granted.in_pieces.iter();
+        let wanted: Vec<MapName> = wanted
+            .filter(|map| self.wants.contains(map))
+            .copied()
+            .collect();
+        let requests: Vec<CatchUpRequest> = wanted
+            .into_iter()
+            .filter_map(|map| {
+                let held = self.held(map);
+                let told = granted.versions.get(map.index()).copied();
+                let goal = told.unwrap_or_default().max(held.next());
+                self.catch_up.behind(now, map, held, from, goal)
+            })
+            .collect();
+        if !requests.is_empty() {
+            // Why: the first piece takes a round trip of its own, and until it comes this controller
+            // is of use as far as can be told.
+            self.answered_at = now;
+        }
+        requests
+    }
+
+    /// Asks other controllers for the pieces that the ones that were asked do not send.
+    pub fn tick_catch_up(&mut self, now: Duration) -> Vec<CatchUpRequest> {
+        let follower = self.feed_cache.follower();
+        self.catch_up.tick(now, |map| follower.map(map).version)
+    }
+
+    /// Takes an answer to a question for pieces; whatever else it is changes nothing.
+    pub fn hear_catch_up(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        vote: &ConsensusMessage,
+    ) -> CatchUpStep {
+        match vote {
+            ConsensusMessage::Piece { piece } => self.hear_piece(now, from, piece.clone()),
+            ConsensusMessage::News { map, .. } if self.catch_up.is_receiving(*map) => {
+                let moved = self.feed_cache.take(vote);
+                let held = self.held(*map);
+                let request = self.catch_up.hear_changes(now, *map, held, moved.is_some());
+                self.progressed(now, moved, request)
+            }
+            _ => CatchUpStep::default(),
+        }
+    }
+
+    fn hear_piece(&mut self, now: Duration, from: SocketAddr, piece: SnapshotPiece) -> CatchUpStep {
+        let map = piece.map;
+        let held = self.held(map);
+        match self.catch_up.hear_piece(now, from, held, piece) {
+            PieceOutcome::Next(request) => self.progressed(now, None, Some(request)),
+            PieceOutcome::Whole(whole) => {
+                let news = ConsensusMessage::Whole { map, whole };
+                let moved = self.feed_cache.take(&news);
+                let held = self.held(map);
+                let request = self.catch_up.hear_changes(now, map, held, moved.is_some());
+                self.progressed(now, moved, request)
+            }
+            PieceOutcome::Refused(why) => CatchUpStep {
+                refused: Some(RefusedPiece { map, why }),
+                ..CatchUpStep::default()
+            },
+        }
+    }
+
+    /// A part of a map came.
+    fn progressed(
+        &mut self,
+        now: Duration,
+        moved: Option<MapName>,
+        request: Option<CatchUpRequest>,
+    ) -> CatchUpStep {
+        // Why: a controller that sends pieces is of use, though what its grant names is not held yet.
+        self.answered_at = now;
+        if moved.is_some() {
+            // Why at once: the grant that named the version may be over by now.
+            self.renew_at = now;
+        }
+        CatchUpStep {
+            moved,
+            request,
+            refused: None,
+        }
+    }
+
+    fn held(&self, map: MapName) -> Version {
+        self.feed_cache.follower().map(map).version
+    }
+
     /// Where the key ownership owner manager hears heartbeats, as far as the membership tells.
     pub fn owner_manager(&self) -> Option<SocketAddr> {
         let membership = self.feed_cache.follower().map(MapName::Membership);
--- a/crates/caperworks/src/messages.rs
+++ b/crates/caperworks/src/messages.rs
@@ -41,6 +41,8 @@
         9 gone: Vec<InstanceId>,
         /// How many proxies are ready, or were when that was last written down.
         10 proxies: u32,
+        /// Maps that are too large for this message: the follower is to fetch them in pieces.
+        11 in_pieces: Vec<MapName>,
     }
 
     /// What one proxy carried in one hour for one rule.
--- a/crates/caperworks/tests/gone_stories.rs
+++ b/crates/caperworks/tests/gone_stories.rs
@@ -118,6 +118,7 @@
         news: Vec::new(),
         assured,
         gone: Vec::new(),
+        in_pieces: Vec::new(),
     }
 }
 
--- a/crates/caperworks/tests/silence_stories.rs
+++ b/crates/caperworks/tests/silence_stories.rs
@@ -299,3 +299,18 @@
     assert_eq!(known, Some(Incarnation(1)));
     assert!(!instances.is_silent(&id));
 }
+
+#[test]
+fn given_an_instance_unheard_for_long_when_silence_counts_again_then_it_is_silent_before_it_is_gone(
+) {
+    let mut instances = Instances::default();
+    instances.hear(millis(1000), &heard("a", 1));
+    let back = millis(1000) + INSTANCE_SPAN + SILENT_SPAN * 2;
+    let id = InstanceId::new("a");
+    assert_eq!(instances.count_silent(back), vec![id.clone()]);
+    assert!(instances.is_silent(&id));
+    instances.count_silent(back + SILENT_SPAN - millis(1));
+    assert!(instances.get(&id).is_some());
+    instances.count_silent(back + SILENT_SPAN);
+    assert!(instances.get(&id).is_none());
+}
--- a/crates/controller/src/machine.rs
+++ b/crates/controller/src/machine.rs
@@ -550,20 +550,7 @@
     } else {
         (0, 0)
     };
-    let news: Vec<ConsensusMessage> = renewal
-        .wants
-        .iter()
-        .filter_map(|name| {
-            let held = member
-                .versions
-                .get(name.index())
-                .copied()
-                .unwrap_or_default();
-            let news = state.voter.news_after(*name, held)?;
-            let limit = &mut state.whole_map_limit;
-            limit.admits(now, reply_to, &news).then_some(news)
-        })
-        .collect();
+    let (news, in_pieces) = news_for_follower(state, reply_to, &renewal.wants, &member.versions);
     let round = match state.options.broken {
         Broken::LoneGrants => Some((
             Duration::ZERO,
@@ -609,10 +596,36 @@
         members_place: state.members.learned(),
         news,
         assured,
+        in_pieces,
     };
     state.send(reply_to, Message::Grant { granted });
 }
 
+/// What a follower lacks of the maps that it wants, and which of them it has to fetch in pieces.
+fn news_for_follower(
+    state: &mut ControllerState,
+    follower: SocketAddr,
+    wants: &[MapName],
+    held: &[Version],
+) -> (Vec<ConsensusMessage>, Vec<MapName>) {
+    let now = state.now;
+    let (mut news, mut in_pieces) = (Vec::new(), Vec::new());
+    for map in wants.iter().copied() {
+        let held = held.get(map.index()).copied().unwrap_or_default();
+        let voter = &state.voter;
+        match state.snapshots.news_for_follower(now, voter, map, held) {
+            FollowerNews::Nothing => {}
+            FollowerNews::InPieces => in_pieces.push(map),
+            FollowerNews::Inline(inline) => {
+                if state.whole_map_limit.admits(now, follower, &inline) {
+                    news.push(inline);
+                }
+            }
+        }
+    }
+    (news, in_pieces)
+}
+
 fn synced(state: &mut ControllerState, ticket: u64) {
     state.note_synced(ticket);
     while state.held.front().is_some_and(|(held, _)| *held <= ticket) {
--- a/crates/directory/src/daemon.rs
+++ b/crates/directory/src/daemon.rs
@@ -23,6 +23,10 @@
                     let envelope = locked(&self.machine).seal(now, to, message);
                     self.port.forward(to, &envelope);
                 }
+                DirectoryOutput::PieceRefused { refused, from } => {
+                    let RefusedPiece { map, why } = refused;
+                    event(PIECE_REFUSED, format!("{map} from {from}: {why}"));
+                }
                 DirectoryOutput::Moved { map, version } => {
                     event(MAP_MOVED, format!("{map} at {version}"));
                 }
--- a/crates/directory/src/machine.rs
+++ b/crates/directory/src/machine.rs
@@ -30,8 +30,31 @@
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum DirectoryOutput {
-    Send { to: SocketAddr, message: Message },
-    Moved { map: MapName, version: Version },
+    Send {
+        to: SocketAddr,
+        message: Message,
+    },
+    Moved {
+        map: MapName,
+        version: Version,
+    },
+    /// A piece of a map was refused; nothing of it is kept.
+    PieceRefused {
+        refused: RefusedPiece,
+        from: SocketAddr,
+    },
+}
+
+fn ask_for_pieces(
+    requests: impl IntoIterator<Item = CatchUpRequest>,
+    outputs: &mut Vec<DirectoryOutput>,
+) {
+    outputs.extend(requests.into_iter().map(|request| DirectoryOutput::Send {
+        to: request.to,
+        message: Message::ConsensusMessage {
+            vote: request.message(),
+        },
+    }));
 }
 
 /// Why the directory cannot say where to go.
@@ -102,52 +125,84 @@
     pub fn input(&mut self, now: Duration, input: DirectoryInput) -> Vec<DirectoryOutput> {
         let mut outputs = Vec::new();
         match input {
-            DirectoryInput::Tick => {
-                if self.link.due(now) {
-                    self.counter += 1;
-                    let member = Member {
-                        node: self.node,
-                        counter: self.counter,
-                        role: Role::Directory,
-                        zone: self.options.zone.clone(),
-                        control: self.options.control,
-                        serving: self.options.serving,
-                        ready: self.ready,
-                        capacity: 0,
-                        demand: Vec::new(),
-                        versions: self.link.versions(),
-                        leaving: !self.ready,
-                        same_demand: false,
-                        silent: false,
-                        stands: self
-                            .stands
-                            .iter()
-                            .map(|(group, zone)| GroupStand {
-                                group: group.clone(),
-                                zone: zone.clone(),
-                            })
-                            .collect(),
-                    };
-                    let (to, message) = self.link.renew(now, member);
-                    outputs.push(DirectoryOutput::Send { to, message });
-                }
+            DirectoryInput::Tick => self.tick(now, &mut outputs),
+            DirectoryInput::Heard { envelope } => self.hear(now, envelope, &mut outputs),
+        }
+        outputs
+    }
+
+    fn tick(&mut self, now: Duration, outputs: &mut Vec<DirectoryOutput>) {
+        let requests = self.link.tick_catch_up(now);
+        ask_for_pieces(requests, outputs);
+        if self.link.due(now) {
+            let member = self.member();
+            let (to, message) = self.link.renew(now, member);
+            outputs.push(DirectoryOutput::Send { to, message });
+        }
+    }
+
+    /// What this directory says of itself when it renews its lease.
+    fn member(&mut self) -> Member {
+        self.counter += 1;
+        let stands = self.stands.iter().map(|(group, zone)| GroupStand {
+            group: group.clone(),
+            zone: zone.clone(),
+        });
+        Member {
+            node: self.node,
+            counter: self.counter,
+            role: Role::Directory,
+            zone: self.options.zone.clone(),
+            control: self.options.control,
+            serving: self.options.serving,
+            ready: self.ready,
+            capacity: 0,
+            demand: Vec::new(),
+            versions: self.link.versions(),
+            leaving: !self.ready,
+            same_demand: false,
+            silent: false,
+            stands: stands.collect(),
+        }
+    }
+
+    fn hear(&mut self, now: Duration, envelope: Envelope, outputs: &mut Vec<DirectoryOutput>) {
+        self.link.envelope_clock.open(now, &envelope);
+        let from = envelope.reply_to;
+        match envelope.message {
+            Message::Grant { granted } => {
+                let moved = self.link.granted(now, envelope.from, &granted);
+                self.maps_moved(moved, outputs);
+                let requests = self.link.fetch_in_pieces(now, from, &granted);
+                ask_for_pieces(requests, outputs);
+                self.heard_members(now, granted.assured);
             }
-            DirectoryInput::Heard { envelope } => {
-                self.link.envelope_clock.open(now, &envelope);
-                if let Message::Grant { granted } = envelope.message {
-                    for map in self.link.granted(now, envelope.from, &granted) {
-                        if map == MapName::Configuration {
-                            let configuration = self.link.feed_cache.follower().map(map);
-                            self.table = RouteTable::of(configuration);
-                        }
-                        let version = self.link.feed_cache.follower().map(map).version;
-                        outputs.push(DirectoryOutput::Moved { map, version });
-                    }
-                    self.heard_members(now, granted.assured);
+            Message::ConsensusMessage { vote } => {
+                let step = self.link.hear_catch_up(now, from, &vote);
+                self.maps_moved(step.moved, outputs);
+                ask_for_pieces(step.request, outputs);
+                if let Some(refused) = step.refused {
+                    outputs.push(DirectoryOutput::PieceRefused { refused, from });
                 }
             }
+            // Why nothing: all else is for agents and controllers.
+            _ => {}
+        }
+    }
+
+    fn maps_moved(
+        &mut self,
+        moved: impl IntoIterator<Item = MapName>,
+        outputs: &mut Vec<DirectoryOutput>,
+    ) {
+        for map in moved {
+            let follower = self.link.feed_cache.follower();
+            if map == MapName::Configuration {
+                self.table = RouteTable::of(follower.map(map));
+            }
+            let version = follower.map(map).version;
+            outputs.push(DirectoryOutput::Moved { map, version });
         }
-        outputs
     }
 
     /// Why only on an assured answer: while the core is out of reach no proxy's silence means
--- a/crates/local-fleet/src/hollow.rs
+++ b/crates/local-fleet/src/hollow.rs
@@ -102,6 +102,8 @@
     controller: usize,
     controller_node: NodeId,
     answered_at: Duration,
+    /// When a piece of a map was last asked for, while one is under way.
+    asked_for_piece_at: BTreeMap<MapName, Duration>,
     renew_at: Duration,
     instances_place: u64,
     members_place: u64,
@@ -138,6 +140,7 @@
         controller: number as usize % fleet.controllers.len(),
         controller_node: NodeId(0),
         answered_at: Duration::ZERO,
+        asked_for_piece_at: BTreeMap::new(),
         renew_at: Duration::ZERO,
         instances_place: 0,
         members_place: 0,
@@ -266,7 +269,11 @@
             // Why by number: an answer to a life before this one says nothing to this one.
             Message::Grant { granted } if granted.number <= self.counter => {
                 self.granted(now, envelope.from, &granted);
+                self.fetch_in_pieces(now, envelope.reply_to, &granted);
             }
+            Message::ConsensusMessage {
+                vote: ConsensusMessage::Piece { piece },
+            } => self.take_piece(now, envelope.reply_to, &piece),
             Message::IslandAsk { ask } => {
                 // Why no word under any roster: hollow agents are to keep nobody fresh.
                 let tell = IslandTell {
@@ -281,6 +288,67 @@
         }
     }
 
+    /// Asks for a part of a map that is too large for a grant.
+    fn ask_for_piece(
+        &mut self,
+        now: Duration,
+        to: SocketAddr,
+        map: MapName,
+        position: TransferPosition,
+    ) {
+        self.asked_for_piece_at.insert(map, now);
+        let vote = ConsensusMessage::CatchUp {
+            map,
+            after: self.versions[map.index()],
+            position: Some(position),
+        };
+        self.send(to, Message::ConsensusMessage { vote });
+    }
+
+    /// Begins to fetch what a grant says is too large for it, unless that is under way.
+    fn fetch_in_pieces(&mut self, now: Duration, from: SocketAddr, granted: &Granted) {
+        for map in granted.in_pieces.iter().copied() {
+            let asked_at = self.asked_for_piece_at.get(&map);
+            let is_under_way =
+                asked_at.is_some_and(|asked_at| now.saturating_sub(*asked_at) < PIECE_PATIENCE);
+            if FOLLOWED.contains(&map) && !is_under_way {
+                let position = TransferPosition {
+                    transfer: self.counter,
+                    version: Version(0),
+                    offset: 0,
+                };
+                self.ask_for_piece(now, from, map, position);
+            }
+        }
+    }
+
+    /// Goes on to the next piece; the bytes themselves are not kept.
+    fn take_piece(&mut self, now: Duration, from: SocketAddr, piece: &SnapshotPiece) {
+        let offset = piece.offset + piece.bytes.len() as u64;
+        if offset < piece.total {
+            let position = TransferPosition {
+                transfer: piece.transfer,
+                version: piece.version,
+                offset,
+            };
+            self.ask_for_piece(now, from, piece.map, position);
+            return;
+        }
+        self.asked_for_piece_at.remove(&piece.map);
+        self.moves_to(now, piece.map, piece.version);
+        self.renew_at = now;
+    }
+
+    /// Notes that a later version of a map is held.
+    fn moves_to(&mut self, now: Duration, map: MapName, version: Version) {
+        let held = &mut self.versions[map.index()];
+        let moved = version > *held;
+        *held = version.max(*held);
+        if moved && map == MapName::Configuration {
+            locked(&self.held_since).push((version, now));
+        }
+    }
+
     fn granted(&mut self, now: Duration, from: NodeId, granted: &Granted) {
         self.controller_node = from;
         self.instances_place = granted.instances_place;
