--- /dev/null
+++ b/crates/agent/src/island_calls.rs
@@ -0,0 +1,105 @@
+//! Other agents: what they are asked and told while the core is out of reach.
+
+use crate::prelude::*;
+
+impl AgentMachine {
+    /// Tells another agent what we hold, and what it lacks of it.
+    pub(crate) fn hear_island_ask(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        ask: &IslandAsk,
+        lain: Option<Duration>,
+        outputs: &mut Vec<AgentOutput>,
+    ) {
+        // Why only with a known age: as for all facts.
+        if let Some(lain) = lain {
+            for heard in &ask.heartbeats {
+                self.link.instances.hear(now, &heard.clone().aged(lain));
+            }
+        }
+        let (feed_cache, limit) = (&self.link.feed_cache, &mut self.agents_limit);
+        let news = ISLAND_MAPS.iter().filter_map(|name| {
+            let held = ask.versions.get(name.index()).copied();
+            feed_cache
+                .news_after(*name, held.unwrap_or_default())
+                .filter(|news| limit.admits(now, from, news))
+        });
+        let tell = IslandTell {
+            number: ask.number,
+            versions: self.link.versions(),
+            news: news.collect(),
+            fit_under: self.islander.fit_under(),
+        };
+        let message = Message::IslandTell { tell };
+        outputs.push(AgentOutput::Send { to: from, message });
+        self.fetch_from(now, from, ask, outputs);
+    }
+
+    /// Takes another agent's answer.
+    pub(crate) fn hear_island_tell(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        tell: &IslandTell,
+        outputs: &mut Vec<AgentOutput>,
+    ) {
+        let pools = self.islander.broken != BrokenIsland::NoPooling;
+        let moved: Vec<MapName> = tell
+            .news
+            .iter()
+            .filter(|_| pools)
+            .filter_map(|news| self.link.feed_cache.take(news))
+            .collect();
+        self.maps_moved(&moved, outputs);
+        // Why looked at first: news of another roster makes what was asked under this void.
+        let membership = self.link.feed_cache.follower().map(MapName::Membership);
+        self.islander.look(now, membership, self.link.fresh_until());
+        let follower = self.link.feed_cache.follower();
+        self.islander.told(from, tell, follower);
+    }
+
+    /// Asks an agent for the maps it has beyond ours, when the core cannot bring them.
+    fn fetch_from(
+        &mut self,
+        now: Duration,
+        to: SocketAddr,
+        ask: &IslandAsk,
+        outputs: &mut Vec<AgentOutput>,
+    ) {
+        let versions = self.link.versions();
+        let behind = versions[MapName::Membership.index()] == Version(0)
+            && ask.versions.get(MapName::Membership.index()) > Some(&Version(0));
+        if behind && self.islander.fetches(now, self.link.fresh_until()) {
+            let ask = IslandAsk {
+                number: 0,
+                versions,
+                heartbeats: Vec::new(),
+            };
+            let message = Message::IslandAsk { ask };
+            outputs.push(AgentOutput::Send { to, message });
+        }
+    }
+
+    /// Asks the other agents what they hold when the core has been silent for a while.
+    pub(crate) fn ask_agents(&mut self, now: Duration, outputs: &mut Vec<AgentOutput>) {
+        let lease_until = self.link.fresh_until();
+        let membership = self.link.feed_cache.follower().map(MapName::Membership);
+        let Some((number, others)) = self.islander.ask(now, membership, lease_until) else {
+            return;
+        };
+        let heartbeats: Vec<HeardHeartbeat> = std::mem::take(&mut self.beaten)
+            .iter()
+            .filter_map(|id| self.link.instances.heard(now, id))
+            .collect();
+        for to in others {
+            let ask = IslandAsk {
+                number,
+                versions: self.link.versions(),
+                heartbeats: heartbeats.clone(),
+            };
+            let message = Message::IslandAsk { ask };
+            outputs.push(AgentOutput::Send { to, message });
+        }
+    }
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,5 +1,9 @@
 //! The agent beside each proxy as a state machine.
 
 pub mod daemon;
+mod heartbeats;
+mod island_calls;
 pub mod machine;
 pub mod prelude;
+mod proxy_calls;
+mod witness;
--- a/crates/agent/src/prelude.rs
+++ b/crates/agent/src/prelude.rs
@@ -2,4 +2,6 @@
 
 pub use caperworks::prelude::*;
 
+pub(crate) use crate::heartbeats::*;
 pub use crate::machine::*;
+pub(crate) use crate::proxy_calls::*;
--- /dev/null
+++ b/crates/agent/src/proxy_calls.rs
@@ -0,0 +1,122 @@
+//! The proxy beside this agent: what it is told, and what it says that it carried.
+
+use crate::prelude::*;
+
+/// How soon the proxy is told a whole map again.
+///
+/// Why sooner than other followers: it asks ten times a second on the same machine, and carries
+/// nothing before it has the map.
+pub(crate) const PROXY_MAP_PERIOD: Duration = Duration::from_millis(300);
+/// For how many hours usage is remembered.
+const USAGE_HOURS: u64 = 48;
+
+impl AgentMachine {
+    /// Answers the proxy that asks what the world is like.
+    pub(crate) fn hear_pull(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        pull: Pull,
+        outputs: &mut Vec<AgentOutput>,
+    ) {
+        let view = self.view(now, from, &pull);
+        self.count_usage(&pull);
+        self.proxy = Some((now, pull));
+        let message = Message::View { view };
+        outputs.push(AgentOutput::Send { to: from, message });
+    }
+
+    fn view(&mut self, now: Duration, proxy: SocketAddr, pull: &Pull) -> ProxyView {
+        let lives_on = matches!(&self.proxy, Some((_, last)) if last.life == pull.life);
+        if !lives_on {
+            self.proxy_limit.begin_anew(proxy);
+        }
+        let (feed_cache, limit) = (&self.link.feed_cache, &mut self.proxy_limit);
+        let news = [
+            (MapName::Configuration, pull.configuration),
+            (MapName::Ownership, pull.ownership),
+        ]
+        .into_iter()
+        .filter_map(|(name, after)| feed_cache.news_after(name, after))
+        .filter(|news| limit.admits(now, proxy, news))
+        .collect();
+        let follower = feed_cache.follower();
+        let all = pull.agent != self.node || pull.instances_place < self.link.instances.removed();
+        let instances: Vec<Heartbeat> = match all {
+            true => self.link.instances.iter().cloned().collect(),
+            false => {
+                let changed = self.link.instances.after(now, pull.instances_place);
+                changed.into_iter().map(|heard| heard.heartbeat).collect()
+            }
+        };
+        let silent = instances
+            .iter()
+            .map(|heartbeat| &heartbeat.id)
+            .filter(|id| self.link.instances.is_silent(id))
+            .cloned()
+            .collect();
+        let heard = self.link.proxies() as usize;
+        // Why the whole roster out of the core's reach: who of it still serves cannot be told, and
+        // what is shared among the proxies must not be shared among fewer than there are.
+        let roster = follower.map(MapName::Membership).roster();
+        let alone = now >= self.link.fresh_until();
+        let listed = roster
+            .filter(|_| alone)
+            .map_or(0, |roster| roster.members.len());
+        let proxies = heard.max(listed) as u32;
+        ProxyView {
+            number: pull.number,
+            left: self.fresh_until().saturating_sub(now),
+            news,
+            instances,
+            silent,
+            agent: self.node,
+            instances_place: self.link.instances.learned(),
+            all_instances: all,
+            proxies: proxies.max(1),
+            configuration: follower.map(MapName::Configuration).version,
+            ownership: follower.map(MapName::Ownership).version,
+            link_slow_for: self.link.slow_for(now),
+        }
+    }
+
+    /// Remembers what the proxy says it carried.
+    ///
+    /// Why here: a proxy may die at any time, and its counts need not die with it.
+    fn count_usage(&mut self, pull: &Pull) {
+        for line in &pull.usage {
+            let place = (
+                pull.life,
+                line.hour,
+                line.route.clone(),
+                line.service.clone(),
+            );
+            self.usage.insert(place, line.clone());
+        }
+        let latest = self.usage.keys().map(|place| place.1).max().unwrap_or(0);
+        self.usage
+            .retain(|place, _| place.1 + USAGE_HOURS >= latest);
+    }
+
+    /// What was carried beside this agent, by hour, route and service.
+    pub fn usage(&self) -> Vec<UsageLine> {
+        let mut sums: BTreeMap<(u64, &RouteName, &ServiceName), UsageLine> = BTreeMap::new();
+        for line in self.usage.values() {
+            let sum = sums
+                .entry((line.hour, &line.route, &line.service))
+                .or_insert_with(|| UsageLine {
+                    hour: line.hour,
+                    route: line.route.clone(),
+                    service: line.service.clone(),
+                    ..UsageLine::default()
+                });
+            sum.requests += line.requests;
+            sum.served += line.served;
+            sum.not_run += line.not_run;
+            sum.unknown += line.unknown;
+            sum.bytes_in += line.bytes_in;
+            sum.bytes_out += line.bytes_out;
+        }
+        sums.into_values().collect()
+    }
+}
