--- a/crates/caperworks/src/lib.rs
+++ b/crates/caperworks/src/lib.rs
@@ -20,6 +20,8 @@
 pub mod leadership;
 pub mod leases;
 pub mod link;
+pub mod map_items;
+pub mod map_weighing;
 pub mod members;
 pub mod messages;
 pub mod old_disk_format;
--- /dev/null
+++ b/crates/caperworks/src/map_items.rs
@@ -0,0 +1,236 @@
+//! The items of the maps: routes, services, zones, mappings, key ranges, voters and leadership terms.
+
+use crate::prelude::*;
+
+messages! {
+    /// What may be repeated of the requests on a route.
+    #[derive(Copy, Eq, Default)]
+    enum RequestKind {
+        /// `GET` and `HEAD` may run more than once, everything else at most once.
+        #[default]
+        0 ByMethod,
+        1 Repeatable,
+        2 Once,
+        /// Large bodies; at most once.
+        3 Upload,
+    }
+
+    /// One of the services that a route's requests are split over.
+    #[derive(Eq)]
+    struct SplitPart {
+        0 service: ServiceName,
+        1 weight: u32,
+    }
+
+    /// A configuration: which hosts and paths go to which service.
+    #[derive(Eq, Default)]
+    struct Route {
+        0 host: String,
+        1 path: String,
+        /// Where its requests go when they are not split.
+        2 service: ServiceName,
+        /// The regions that its requests may be served in; none bind it nowhere.
+        3 homes: Vec<Region>,
+        /// The longest time for which one try is held.
+        4 deadline: Duration,
+        5 body_limit: u64,
+        6 key_header: Option<String>,
+        7 kind: RequestKind,
+        8 split: Vec<SplitPart>,
+        /// The time within which an answer is worth most; zero when none is told.
+        9 target_latency: Duration,
+        /// Its rank when there is too little room; 0 is highest.
+        10 priority: u32,
+        /// To how many instances one try may be sent; zero leaves it to the proxy.
+        11 most_attempts: u32,
+    }
+
+    /// How keys fall into key ranges.
+    #[derive(Copy, Eq, Default)]
+    enum KeySpace {
+        /// By the hash of any text.
+        #[default]
+        0 Hashed,
+        /// Numbers from 0 to 65535, in contiguous ranges.
+        1 Ranges,
+    }
+
+    #[derive(Eq, Default)]
+    struct Service {
+        0 keyed: bool,
+        1 key_ranges: u32,
+        2 instance_cap: u32,
+        3 key_cap: u32,
+        /// Requests in a thousand seconds that a cold instance bears from all proxies together.
+        4 cold_rate_milli: u32,
+        /// How long an instance is cold after its start.
+        5 warm_span: Duration,
+        6 key_space: KeySpace,
+        /// Connections that an instance takes from all callers together; zero when not told.
+        7 connection_limit: u32,
+        8 health_path: String,
+    }
+
+    /// What a caller may send, and for how long it may take or stay idle.
+    #[derive(Eq, Default)]
+    struct CallerLimits {
+        0 head_bytes: u64,
+        1 body_bytes: u64,
+        2 head_span: Duration,
+        3 idle_span: Duration,
+    }
+
+    #[derive(Eq)]
+    struct ZoneSettings {
+        0 region: Region,
+        1 closed: bool,
+    }
+
+    #[derive(Eq)]
+    struct Share {
+        0 zone: Zone,
+        1 units: u32,
+    }
+
+    /// Where one group of clients goes for one rule.
+    #[derive(Eq)]
+    struct GroupPlacement {
+        0 group: String,
+        1 route: RouteName,
+        2 shares: Vec<Share>,
+        3 unplaced: u32,
+    }
+
+    #[derive(Eq)]
+    struct Mapping {
+        0 epoch: Epoch,
+        1 groups: Vec<GroupPlacement>,
+        /// How many proxies were ready when it was written.
+        2 proxies: u32,
+    }
+
+    #[derive(Eq)]
+    struct KeyRangeOwner {
+        0 instance: InstanceId,
+        1 incarnation: Incarnation,
+        2 epoch: Epoch,
+        /// What the owner before handed on of the key range.
+        3 handover: Option<String>,
+    }
+
+    #[derive(Eq)]
+    struct KeyRangeTable {
+        0 epoch: Epoch,
+        1 owners: Vec<Option<KeyRangeOwner>>,
+    }
+
+    #[derive(Eq)]
+    struct VoterEntry {
+        0 node: NodeId,
+        1 address: SocketAddr,
+        2 zone: Zone,
+        3 controller: bool,
+    }
+
+    #[derive(Eq)]
+    struct VoterSet {
+        0 holders: Vec<VoterEntry>,
+    }
+
+    #[derive(Eq)]
+    struct LeadershipTerm {
+        0 holder: NodeId,
+        1 epoch: Epoch,
+    }
+
+    #[derive(Eq)]
+    enum Value {
+        0 Route { 0 route: Route },
+        1 Service { 0 service: Service },
+        2 Zone { 0 zone: ZoneSettings },
+        3 Mapping { 0 mapping: Mapping },
+        4 KeyRanges { 0 table: KeyRangeTable },
+        5 VoterSet { 0 voters: VoterSet },
+        6 Leadership { 0 term: LeadershipTerm },
+        7 Roster { 0 roster: Roster },
+        8 Limits { 0 limits: CallerLimits },
+        /// An item dropped under the operators' own version, which still counts.
+        9 Dropped,
+    }
+}
+
+impl VoterSet {
+    pub fn majority(&self) -> usize {
+        self.holders.len() / 2 + 1
+    }
+
+    pub fn holder(&self, node: NodeId) -> Option<&VoterEntry> {
+        self.holders.iter().find(|holder| holder.node == node)
+    }
+}
+
+impl Route {
+    /// The services that its requests may go to.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        let whole = self.split.is_empty().then_some(&self.service);
+        whole
+            .into_iter()
+            .chain(self.split.iter().map(|part| &part.service))
+    }
+
+    /// The service for one request, by a draw.
+    pub fn service_for(&self, draw: u64) -> &ServiceName {
+        let total: u64 = self.split.iter().map(|part| u64::from(part.weight)).sum();
+        let mut point = draw % total.max(1);
+        for part in &self.split {
+            if point < u64::from(part.weight) {
+                return &part.service;
+            }
+            point -= u64::from(part.weight);
+        }
+        &self.service
+    }
+
+    /// Whether it may be served in a region.
+    pub fn is_at_home(&self, region: Option<&Region>) -> bool {
+        self.homes.is_empty() || region.is_some_and(|region| self.homes.contains(region))
+    }
+
+    /// Whether a request by this method may run more than once.
+    pub fn may_repeat(&self, reads: bool) -> bool {
+        match self.kind {
+            RequestKind::ByMethod => reads,
+            RequestKind::Repeatable => true,
+            RequestKind::Once | RequestKind::Upload => false,
+        }
+    }
+}
+
+impl Service {
+    /// Requests a second that a cold instance bears from all proxies together.
+    pub fn cold_rate(&self) -> f64 {
+        f64::from(self.cold_rate_milli) / 1000.0
+    }
+
+    /// The key range that a key falls into; none for a key that is none of this service's.
+    pub fn key_range_of(&self, key: &str) -> Option<u32> {
+        match self.key_space {
+            KeySpace::Hashed => Some(key_range_of_hash(key, self.key_ranges)),
+            KeySpace::Ranges => {
+                let number: u16 = key.parse().ok()?;
+                Some((u64::from(number) * u64::from(self.key_ranges) / KEYS) as u32)
+            }
+        }
+    }
+
+    /// The first and last key of a key range, of a service whose keys fall into ranges.
+    pub fn key_bounds(&self, key_range: u32) -> (u32, u32) {
+        let key_ranges = u64::from(self.key_ranges.max(1));
+        let first = (u64::from(key_range) * KEYS).div_ceil(key_ranges);
+        let after = (u64::from(key_range + 1) * KEYS).div_ceil(key_ranges);
+        (first as u32, (after - 1) as u32)
+    }
+}
+
+/// How many keys there are where they are numbers.
+pub const KEYS: u64 = 65_536;
--- a/crates/caperworks/src/prelude.rs
+++ b/crates/caperworks/src/prelude.rs
@@ -26,6 +26,8 @@
 pub use crate::leadership::*;
 pub use crate::leases::*;
 pub use crate::link::*;
+pub use crate::map_items::*;
+pub use crate::map_weighing::*;
 pub use crate::members::*;
 pub use crate::messages::*;
 pub use crate::old_disk_format::*;
--- /dev/null
+++ b/crates/local-fleet/src/scale/load.rs
@@ -0,0 +1,104 @@
+//! The load of a scale run: steady changes of the configuration, and restarts.
+
+use crate::prelude::*;
+
+/// A change that was told yes: its version, and when.
+pub(crate) type Accepted = Arc<Mutex<Vec<(Version, Duration)>>>;
+
+/// Offers changes at a steady rate, each answered by itself.
+pub(crate) async fn keep_changing(
+    options: ScaleOptions,
+    controllers: Vec<ControllerPlace>,
+    clock: Clock,
+    flows: Arc<Flows>,
+    accepted: Accepted,
+    offered: Arc<AtomicU64>,
+) {
+    if options.changes <= 0.0 {
+        return std::future::pending().await;
+    }
+    let mut turn = tokio::time::interval(Duration::from_secs_f64(1.0 / options.changes));
+    loop {
+        turn.tick().await;
+        let number = offered.fetch_add(1, Ordering::SeqCst);
+        let put = options.route_put(
+            (number % u64::from(options.routes)) as u32,
+            2001 + number % 5000,
+        );
+        let read = locked(&accepted).last().map_or(0, |last| last.0 .0);
+        let id = format!("change-{number}");
+        let body = jzon::object! { id: id, edition: read, put: [put] }.dump();
+        let to = controllers[(number % controllers.len() as u64) as usize].serving;
+        let (accepted, flows) = (accepted.clone(), flows.clone());
+        tokio::spawn(async move {
+            flows.count(
+                Part::Operator,
+                Part::Controller,
+                request_bytes("/v1/standing", to, body.len()),
+            );
+            let Ok(fetched) = Fetch::post(to, "/v1/standing", body).send().await else {
+                return;
+            };
+            let now = clock.now();
+            flows.count(Part::Controller, Part::Operator, response_bytes(&fetched));
+            if fetched.status == 200 {
+                let version = Version(fetched.json()["edition"].as_u64().unwrap_or(0));
+                locked(&accepted).push((version, now));
+            }
+        });
+    }
+}
+
+/// Restarts hollow agents and instances in turn at a steady rate.
+pub(crate) async fn keep_restarting(
+    rate: f64,
+    agents: &[HollowAgent],
+    instances: &[HollowInstance],
+    restarted: &AtomicU64,
+) {
+    if rate <= 0.0 {
+        return std::future::pending().await;
+    }
+    let mut turn = tokio::time::interval(Duration::from_secs_f64(60.0 / rate));
+    loop {
+        turn.tick().await;
+        let number = restarted.fetch_add(1, Ordering::SeqCst) as usize;
+        if number.is_multiple_of(2) && !agents.is_empty() {
+            agents[number / 2 % agents.len()].restart();
+        } else if !instances.is_empty() {
+            instances[number / 2 % instances.len()].restart();
+        }
+    }
+}
+
+/// How long after its yes each change was held by the last hollow node; and how many were not.
+pub(crate) fn held_delays(
+    accepted: &[(Version, Duration)],
+    agents: &[HollowAgent],
+) -> (Vec<Duration>, u64) {
+    let held: Vec<Vec<(Version, Duration)>> = agents
+        .iter()
+        .map(|agent| locked(&agent.held_since).clone())
+        .collect();
+    let mut unheld = 0;
+    let mut delays = Vec::new();
+    for (version, told) in accepted {
+        let last = held
+            .iter()
+            .map(|moves| {
+                moves
+                    .iter()
+                    .find(|(moved, _)| moved >= version)
+                    .map(|(_, at)| *at)
+            })
+            .collect::<Option<Vec<Duration>>>();
+        match last {
+            Some(last) => {
+                let last = last.into_iter().max().unwrap_or_default();
+                delays.push(last.saturating_sub(*told));
+            }
+            None => unheld += 1,
+        }
+    }
+    (delays, unheld)
+}
--- /dev/null
+++ b/crates/model-check/src/world/actions.rs
@@ -0,0 +1,195 @@
+//! What may happen next in the explored world.
+
+use crate::prelude::*;
+
+impl World {
+    /// All that can happen next within the bound.
+    pub fn actions(&self, bound: &Bound) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.add_deliveries(bound, &mut actions);
+        for (place, node) in self.running() {
+            self.add_node_actions(bound, place, node, &mut actions);
+        }
+        self.add_management(bound, &mut actions);
+        actions
+    }
+
+    pub(super) fn add_deliveries(&self, bound: &Bound, actions: &mut Vec<Action>) {
+        for (number, (_, request)) in self.requests.iter().enumerate() {
+            if !self.would_vote(bound, request) {
+                continue;
+            }
+            let request = number as u8;
+            actions.push(Action::Deliver {
+                request,
+                reply_lost: false,
+            });
+            if self.lost_replies > 0 {
+                actions.push(Action::Deliver {
+                    request,
+                    reply_lost: true,
+                });
+            }
+        }
+    }
+
+    pub(super) fn add_node_actions(
+        &self,
+        bound: &Bound,
+        place: u8,
+        node: &Node,
+        actions: &mut Vec<Action>,
+    ) {
+        if node.configuration_ballots > 0 && node.configuration.get().has_work() {
+            let map = MapName::Configuration;
+            actions.push(Action::Begin { place, map });
+        }
+        if node.membership_ballots > 0 && node.membership.get().has_work() {
+            let map = MapName::Membership;
+            actions.push(Action::Begin { place, map });
+        }
+        if !node.is_synced() {
+            actions.push(Action::Sync { place });
+        }
+        for map in super::MAPS {
+            self.add_copies(place, node, map, actions);
+        }
+        if self.restarts > 0 {
+            actions.push(Action::Restart { place });
+        }
+        if bound.wiped.contains(&node.id) {
+            actions.push(Action::Wipe { place });
+        }
+        if bound.readers.contains(&node.id) {
+            self.add_reads(place, node, actions);
+        }
+    }
+
+    /// One source for each later version that some node holds.
+    pub(super) fn add_copies(
+        &self,
+        place: u8,
+        node: &Node,
+        map: MapName,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut seen = BTreeSet::from([node.version(map)]);
+        for (source, other) in self.running() {
+            let version = other.version(map);
+            if version > node.version(map) && seen.insert(version) {
+                actions.push(Action::Learn { place, source, map });
+            }
+        }
+    }
+
+    pub(super) fn add_reads(&self, place: u8, node: &Node, actions: &mut Vec<Action>) {
+        let may_begin = node.round_open.is_none() && node.rounds_left > 0;
+        if may_begin && node.read != ReadState::Answered {
+            actions.push(Action::BeginRound { place });
+        }
+        let Some((_, waiting)) = &node.round_open else {
+            return;
+        };
+        for (voter, other) in self.running() {
+            if waiting.contains(&other.id) {
+                actions.push(Action::AnswerRound { place, voter });
+            }
+        }
+    }
+
+    pub(super) fn add_management(&self, bound: &Bound, actions: &mut Vec<Action>) {
+        let manager = self
+            .place_of(bound.manager)
+            .map(|place| self.node(place))
+            .filter(|node| node.is_running);
+        let is_due = manager.is_some_and(|node| {
+            node.asked_under != Some(node.version(MapName::Membership))
+                && self.next_voters(bound, node).is_some()
+        });
+        if is_due {
+            actions.push(Action::Manage);
+        }
+    }
+
+    /// The voters after the first membership step that is not made yet.
+    pub(super) fn next_voters(&self, bound: &Bound, manager: &Node) -> Option<Vec<VoterEntry>> {
+        let voters = manager.voter.get().map(MapName::Membership).voters()?;
+        let mut holders = voters.holders.clone();
+        for step in &bound.membership_steps {
+            match step {
+                // Why only if it is there: the node on a wiped disk appears with the wipe.
+                MembershipStep::Join(id)
+                    if voters.holder(*id).is_none() && self.place_of(*id).is_some() =>
+                {
+                    holders.push(super::entry(*id));
+                    return Some(holders);
+                }
+                MembershipStep::Leave(id) if voters.holder(*id).is_some() => {
+                    holders.retain(|holder| holder.node != *id);
+                    return Some(holders);
+                }
+                _ => {}
+            }
+        }
+        None
+    }
+
+    /// The membership, version and ballot of a request.
+    pub(super) fn terms(message: &ConsensusMessage) -> Option<(MapName, Version, Version, Ballot)> {
+        match message {
+            ConsensusMessage::Prepare {
+                map,
+                membership,
+                version,
+                ballot,
+            }
+            | ConsensusMessage::Accept {
+                map,
+                membership,
+                version,
+                ballot,
+                ..
+            } => Some((*map, *membership, *version, *ballot)),
+            _ => None,
+        }
+    }
+
+    /// Whether a voter would vote now. A refusal teaches a proposer only what other events teach it.
+    pub(super) fn would_vote(&self, bound: &Bound, request: &Request) -> bool {
+        let Some((map, membership, version, ballot)) = Self::terms(&request.message) else {
+            return false;
+        };
+        let Some(place) = self.place_of(request.voter) else {
+            return false;
+        };
+        let node = self.node(place);
+        let copy = node.voter.get().copy(map);
+        let fits = bound.mistake == Mistake::VotesUnderAnyMembership
+            || membership == node.version(MapName::Membership);
+        node.is_running && fits && copy.map.version.next() == version && ballot >= copy.promised
+    }
+
+    /// Drops requests that their voters will never vote on again.
+    pub(super) fn drop_dead_requests(&mut self, bound: &Bound) {
+        let mut requests = std::mem::take(&mut self.requests);
+        requests.retain(|(_, request)| self.may_be_voted_on(bound, request));
+        self.requests = requests;
+    }
+
+    pub(super) fn may_be_voted_on(&self, bound: &Bound, request: &Request) -> bool {
+        let Some((map, membership, version, ballot)) = Self::terms(&request.message) else {
+            return false;
+        };
+        let Some(place) = self.place_of(request.voter) else {
+            return false;
+        };
+        let node = self.node(place);
+        // Why by the disk: a restart may take the memory back to it, but never further.
+        let copy = node.synced.get().copy(map);
+        let may_fit = bound.mistake == Mistake::VotesUnderAnyMembership
+            || membership >= node.synced.get().map(MapName::Membership).version;
+        let next = copy.map.version.next();
+        let outbid = version == next && ballot < copy.promised;
+        node.is_running && may_fit && version >= next && !outbid
+    }
+}
--- /dev/null
+++ b/crates/model-check/src/world/ballots.rs
@@ -0,0 +1,242 @@
+//! Ballots in the explored world: requests, votes, syncs, and what is decided.
+
+use crate::prelude::*;
+
+impl World {
+    pub(super) fn begin(&mut self, place: u8, map: MapName) -> Result<(), Violation> {
+        let outcome = self.change(place, |node| {
+            match map {
+                MapName::Membership => node.membership_ballots -= 1,
+                _ => node.configuration_ballots -= 1,
+            }
+            let (proposer, voter) = node.proposer(map);
+            let mut outcome = ProposerOutcome::default();
+            if proposer.has_ballot() {
+                outcome = proposer.tick(Duration::ZERO, voter, &mut Chance::seeded(1));
+            }
+            let begun = proposer.tick(BALLOT_TIME, voter, &mut Chance::seeded(1));
+            outcome.to_voters.extend(begun.to_voters);
+            outcome.proposal_outcomes.extend(begun.proposal_outcomes);
+            outcome
+        });
+        self.act_on_proposer(place, outcome)
+    }
+
+    pub(super) fn act_on_proposer(
+        &mut self,
+        place: u8,
+        outcome: ProposerOutcome,
+    ) -> Result<(), Violation> {
+        for message in outcome.to_voters {
+            match message {
+                ConsensusMessage::Commit {
+                    map,
+                    version,
+                    ref change,
+                } => self.decide(place, map, version, &change.id, &message)?,
+                _ => self.send_to_voters(place, message),
+            }
+        }
+        for (ticket, proposal_outcome) in outcome.proposal_outcomes {
+            self.hear_outcome(ticket, proposal_outcome)?;
+        }
+        Ok(())
+    }
+
+    /// Checks the outcome of an operator's call.
+    pub(super) fn hear_outcome(
+        &mut self,
+        ticket: u64,
+        outcome: ProposalOutcome,
+    ) -> Result<(), Violation> {
+        let (ProposalOutcome::Accepted(version) | ProposalOutcome::Repeat(version)) = outcome
+        else {
+            return Ok(());
+        };
+        if ticket != super::OPERATOR_TICKET {
+            return Ok(());
+        }
+        let lost = self.nodes().filter(|node| !node.is_running).count();
+        let disks = disks_with(self, version);
+        if disks + lost < SYNCED_DISKS {
+            return Err(Violation::TooFewDisks { version, disks });
+        }
+        self.accepted = self.accepted.max(version);
+        Ok(())
+    }
+
+    /// A proposer saw a majority: its own node commits, others learn by copying.
+    pub(super) fn decide(
+        &mut self,
+        place: u8,
+        map: MapName,
+        version: Version,
+        id: &ChangeId,
+        message: &ConsensusMessage,
+    ) -> Result<(), Violation> {
+        let membership = self.node(place).version(MapName::Membership);
+        Arc::make_mut(&mut self.chosen).decide(map, version, id, membership)?;
+        self.hear(place, message.clone(), false)
+    }
+
+    pub(super) fn send_to_voters(&mut self, place: u8, message: ConsensusMessage) {
+        let node = self.node(place);
+        let proposer = node.id;
+        let Some(voters) = node.voter.get().map(MapName::Membership).voters().cloned() else {
+            return;
+        };
+        for holder in voters.holders {
+            let request = Request {
+                proposer,
+                voter: holder.node,
+                message: message.clone(),
+            };
+            let mut writer = DigestWriter::default();
+            writer.add(&request);
+            let digest = writer.finish();
+            let known = self
+                .requests
+                .binary_search_by_key(&digest, |(digest, _)| *digest);
+            if let Err(at) = known {
+                self.requests.insert(at, (digest, Arc::new(request)));
+            }
+        }
+    }
+
+    /// Hands a message to a node's voter that needs no answer.
+    pub(super) fn hear(
+        &mut self,
+        place: u8,
+        message: ConsensusMessage,
+        separate_sync: bool,
+    ) -> Result<(), Violation> {
+        self.change(place, |node| {
+            let before = node.version(MapName::Membership);
+            let outcome = node.voter.change().hear(message);
+            node.unsynced.extend(outcome.records);
+            node.unsynced_rewrite |= outcome.rewrite;
+            if outcome.moved.contains(&MapName::Membership) {
+                node.rounds.begin_anew(before);
+                node.round_open = None;
+            }
+            if !separate_sync && node.held.is_empty() {
+                node.sync();
+            }
+        });
+        let voter = self.places[usize::from(place)].get().voter.get();
+        Arc::make_mut(&mut self.chosen).note_copies(voter)
+    }
+
+    pub(super) fn deliver(
+        &mut self,
+        bound: &Bound,
+        number: u8,
+        reply_lost: bool,
+    ) -> Result<(), Violation> {
+        let (_, request) = self.requests.remove(usize::from(number));
+        let Some(place) = self.place_of(request.voter) else {
+            return Ok(());
+        };
+        let message = Self::under_own_membership(bound, self.node(place), &request.message);
+        let replies = self.change(place, |node| {
+            let outcome = node.voter.change().hear(message);
+            node.unsynced.extend(outcome.records);
+            outcome.replies
+        });
+        let replies = replies.into_iter().map(|reply| (request.proposer, reply));
+        if reply_lost {
+            self.lost_replies -= 1;
+        } else if bound.mistake == Mistake::VotesBeforeSync {
+            return self.carry_replies(place, replies.collect());
+        } else {
+            self.change(place, |node| node.held.extend(replies));
+        }
+        if bound.separate_sync {
+            return Ok(());
+        }
+        self.sync(place)
+    }
+
+    /// The message as a voter reads it that votes under any membership.
+    pub(super) fn under_own_membership(
+        bound: &Bound,
+        node: &Node,
+        message: &ConsensusMessage,
+    ) -> ConsensusMessage {
+        let mut message = message.clone();
+        if bound.mistake == Mistake::VotesUnderAnyMembership {
+            if let ConsensusMessage::Prepare { membership, .. }
+            | ConsensusMessage::Accept { membership, .. } = &mut message
+            {
+                *membership = node.version(MapName::Membership);
+            }
+        }
+        message
+    }
+
+    pub(super) fn sync(&mut self, place: u8) -> Result<(), Violation> {
+        let replies = self.change(place, Node::sync);
+        self.carry_replies(place, replies)
+    }
+
+    /// Carries a voter's replies to their proposers.
+    pub(super) fn carry_replies(
+        &mut self,
+        place: u8,
+        replies: Vec<(NodeId, ConsensusMessage)>,
+    ) -> Result<(), Violation> {
+        let voter = self.node(place).id;
+        for (proposer, reply) in replies {
+            self.check_vote(place, &reply)?;
+            let Some(target) = self.place_of(proposer) else {
+                continue;
+            };
+            if !self.node(target).is_running {
+                continue;
+            }
+            let (ConsensusMessage::Promise { map, .. } | ConsensusMessage::Accepted { map, .. }) =
+                reply
+            else {
+                continue;
+            };
+            let outcome = self.change(target, |node| {
+                let (proposer, own) = node.proposer(map);
+                proposer.hear(BALLOT_TIME, voter, &reply, own)
+            });
+            self.act_on_proposer(target, outcome)?;
+        }
+        Ok(())
+    }
+
+    /// Checks that a vote that leaves is on a version whose predecessor its voter holds for good.
+    pub(super) fn check_vote(&self, place: u8, reply: &ConsensusMessage) -> Result<(), Violation> {
+        let (ConsensusMessage::Promise { map, version, .. }
+        | ConsensusMessage::Accepted { map, version, .. }) = reply
+        else {
+            return Ok(());
+        };
+        let node = self.node(place);
+        if node.voter.get().map(*map).version.next() >= *version {
+            return Ok(());
+        }
+        Err(Violation::VoteOnVersionNotHeld {
+            node: node.id,
+            version: *version,
+        })
+    }
+
+    pub(super) fn learn(
+        &mut self,
+        bound: &Bound,
+        place: u8,
+        source: u8,
+        map: MapName,
+    ) -> Result<(), Violation> {
+        let after = self.node(place).version(map);
+        let news = self.node(source).voter.get().news_after(map, after);
+        if let Some(news) = news {
+            self.hear(place, news, bound.separate_sync)?;
+        }
+        self.finish_read(bound, place)
+    }
+}
--- /dev/null
+++ b/crates/model-check/src/world/rounds.rs
@@ -0,0 +1,80 @@
+//! Rounds and reads in the explored world.
+
+use crate::prelude::*;
+
+impl World {
+    pub(super) fn begin_round(&mut self, bound: &Bound, place: u8) -> Result<(), Violation> {
+        let accepted = self.accepted;
+        self.change(place, |node| {
+            if node.read == ReadState::NotCalled {
+                node.read = ReadState::Called { accepted };
+            }
+            node.rounds_left -= 1;
+            let number = node.rounds.begin(ROUND_TIME);
+            let voters = node.voter.get().map(MapName::Membership).voters();
+            let waiting = voters
+                .iter()
+                .flat_map(|voters| &voters.holders)
+                .map(|holder| holder.node)
+                .collect();
+            node.round_open = Some((number, waiting));
+        });
+        self.finish_read(bound, place)
+    }
+
+    pub(super) fn answer_round(
+        &mut self,
+        bound: &Bound,
+        place: u8,
+        voter: u8,
+    ) -> Result<(), Violation> {
+        let teller = self.node(voter);
+        let (from, versions) = (teller.id, teller.voter.get().possible());
+        self.change(place, |node| {
+            let voters = node.voter.get().map(MapName::Membership).voters();
+            let majority = voters.map_or(usize::MAX, VoterSet::majority);
+            if let Some((number, waiting)) = &mut node.round_open {
+                waiting.remove(&from);
+                node.rounds.answer(from, *number, versions, majority);
+            }
+        });
+        self.finish_read(bound, place)
+    }
+
+    /// Answers the read if the node may, and checks what it answers.
+    pub(super) fn finish_read(&mut self, bound: &Bound, place: u8) -> Result<(), Violation> {
+        let node = self.node(place);
+        let ReadState::Called { accepted } = node.read else {
+            return Ok(());
+        };
+        let read = node.version(MapName::Configuration);
+        let membership = node.version(MapName::Membership);
+        let is_sure = node.rounds.confirmed(ROUND_TIME).is_some_and(|round| {
+            let under =
+                bound.mistake == Mistake::ReadsUnderOldMembership || round.is_under(membership);
+            under && round.versions[MapName::Configuration.index()] <= read
+        });
+        if !is_sure && bound.mistake != Mistake::ReadsWithoutRound {
+            return Ok(());
+        }
+        // Why then: by an earlier round a call is answered in the moment in which it comes.
+        let accepted = match bound.mistake {
+            Mistake::ReadsByEarlierRound => self.accepted,
+            _ => accepted,
+        };
+        if read < accepted {
+            let node = node.id;
+            return Err(Violation::StaleRead {
+                node,
+                read,
+                accepted,
+            });
+        }
+        self.change(place, |node| {
+            node.read = ReadState::Answered;
+            node.round_open = None;
+            node.rounds = Rounds::default();
+        });
+        Ok(())
+    }
+}
