--- a/crates/controller/tests/catch_up_stories.rs
+++ b/crates/controller/tests/catch_up_stories.rs
@@ -1,8 +1,9 @@
 //! Stories of whole controllers that are behind: after thousands of changes, on slow ways.
 
-use controller::prelude::*;
+mod support;
+
+use crate::support::prelude::*;
 
-const STEP: Duration = Duration::from_millis(25);
 const ROUTES: u64 = 6_000;
 const CHANGES: u64 = 10_000;
 const SLOT_ROOM: u64 = 16 * 1024 * 1024;
@@ -79,34 +80,6 @@
     slots_written: u64,
 }
 
-fn address(place: usize) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 7000 + place as u16))
-}
-
-fn policy(place: usize) -> CorePolicy {
-    CorePolicy {
-        proxies_serve_on: true,
-        synced_controllers: Some(2),
-        controller_voters: 3,
-        witness_voters: 0,
-        stamped_heartbeats: false,
-        may_found: place < 3,
-        ..CorePolicy::default()
-    }
-}
-
-fn lay(image: &mut DiskImage, write: &DiskWrite) {
-    let (part, offset, bytes) = match write {
-        DiskWrite::Slot { second, bytes } => (&mut image.slots[usize::from(*second)], 0, bytes),
-        DiskWrite::Log { offset, bytes } => (&mut image.log, *offset as usize, bytes),
-    };
-    let end = offset + bytes.len();
-    if part.len() < end {
-        part.resize(end, 0);
-    }
-    part[offset..end].copy_from_slice(bytes);
-}
-
 impl Fleet {
     /// Three controllers that founded themselves, and a fourth place that is empty.
     fn founded(seed: u64) -> Self {
@@ -142,7 +115,10 @@
         let zone = Zone::new(format!("zone-{place}"));
         let options = ControllerOptions::new(address(place), zone, seeds)
             .disk_room(SLOT_ROOM, LOG_ROOM)
-            .core(policy(place))
+            .core(CorePolicy {
+                may_found: place < 3,
+                ..policy()
+            })
             .broken(self.places[place].broken);
         let image = self.places[place].image.clone();
         let (machine, outputs) = ControllerMachine::start(options, &image, self.seeds_drawn);
--- a/crates/controller/tests/fleet_stories.rs
+++ b/crates/controller/tests/fleet_stories.rs
@@ -1,8 +1,8 @@
 //! Stories of whole controllers in memory: disks that are lost, founding, heartbeats and instances' ends.
 
-use controller::prelude::*;
+mod support;
 
-const STEP: Duration = Duration::from_millis(25);
+use crate::support::prelude::*;
 
 struct Place {
     machine: Option<ControllerMachine>,
@@ -29,33 +29,6 @@
     broken: Broken,
 }
 
-fn address(place: usize) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 7000 + place as u16))
-}
-
-fn policy() -> CorePolicy {
-    CorePolicy {
-        proxies_serve_on: true,
-        synced_controllers: Some(2),
-        controller_voters: 3,
-        witness_voters: 0,
-        stamped_heartbeats: false,
-        ..CorePolicy::default()
-    }
-}
-
-fn lay(image: &mut DiskImage, write: &DiskWrite) {
-    let (part, offset, bytes) = match write {
-        DiskWrite::Slot { second, bytes } => (&mut image.slots[usize::from(*second)], 0, bytes),
-        DiskWrite::Log { offset, bytes } => (&mut image.log, *offset as usize, bytes),
-    };
-    let end = offset + bytes.len();
-    if part.len() < end {
-        part.resize(end, 0);
-    }
-    part[offset..end].copy_from_slice(bytes);
-}
-
 impl Fleet {
     fn new(policies: [CorePolicy; 3], seed: u64) -> Self {
         let mut fleet = Self {
--- /dev/null
+++ b/crates/controller/tests/support/mod.rs
@@ -0,0 +1,4 @@
+//! What stories of whole controllers in memory share.
+
+pub mod controllers;
+pub mod prelude;
