--- a/crates/caperworks/src/lib.rs
+++ b/crates/caperworks/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod envelope_clock;
 pub mod facts;
 pub mod feed;
+pub mod home_bounds;
 pub mod instances;
 pub mod island;
 pub mod leadership;
--- a/crates/caperworks/src/placement.rs
+++ b/crates/caperworks/src/placement.rs
@@ -280,6 +280,36 @@
     heads
 }
 
+/// By route, where its clients' proxies may stand: the head of a host is bound by all its routes.
+fn home_bounds(
+    view: &ProblemView<'_>,
+    heads: &BTreeMap<RouteName, RouteName>,
+) -> BTreeMap<RouteName, HomeBounds> {
+    let mut bound_by: BTreeMap<RouteName, Vec<&Route>> = BTreeMap::new();
+    for (name, route) in view.configuration.routes() {
+        let head = heads.get(&name).cloned().unwrap_or(name);
+        bound_by.entry(head).or_default().push(route);
+    }
+    bound_by
+        .into_iter()
+        .map(|(head, routes)| (head, HomeBounds::of(routes.into_iter())))
+        .collect()
+}
+
+/// The region that a group's clients stand in: as they say, or else the nearest that was measured.
+fn region_of_group<'regions>(
+    measured: Option<&Measured>,
+    stands: Option<&Zone>,
+    regions: &'regions BTreeMap<Zone, Region>,
+) -> Option<&'regions Region> {
+    let nearest = || {
+        let distances = measured?.distance.iter();
+        let nearest = distances.min_by(|one, other| one.1.total_cmp(other.1))?;
+        Some(nearest.0)
+    };
+    regions.get(stands.or_else(nearest)?)
+}
+
 impl Solver {
     /// Removes closed, crashed and draining sites, and says what is left of each zone: the
     /// capacity of its ready proxies.
@@ -422,11 +452,13 @@
             .flat_map(|mapping| &mapping.groups)
             .map(|placement| ((placement.group.as_str(), &placement.route), placement))
             .collect();
+        let bounds = home_bounds(view, &heads);
         let mut result = Vec::new();
         for (name, route) in view.configuration.routes() {
             let Some(wanted) = by_route.get(&name) else {
                 continue;
             };
+            let bounds = bounds.get(&name).cloned().unwrap_or_default();
             let sites: Vec<Site> = open
                 .iter()
                 .filter(|(zone, _)| may_use(route, zone))
@@ -457,13 +489,15 @@
                         .filter_map(|share| sites.iter().position(|site| site.zone == share.zone))
                         .collect();
                     let measured = self.measured.get(&(group.clone(), name.clone()));
+                    let stands = self.stands.get(group);
+                    let client = region_of_group(measured, stands, &regions);
                     ClientGroup {
                         group: group.clone(),
                         route: name.clone(),
                         demand: *units,
                         list: ranked(group, &sites, &used, |zone| {
-                            let stands = self.stands.get(group);
-                            Some(distance_to(zone, measured, stands, &regions))
+                            let is_allowed = bounds.allow(regions.get(zone), client);
+                            is_allowed.then(|| distance_to(zone, measured, stands, &regions))
                         }),
                         last: used,
                     }
@@ -572,12 +606,15 @@
 ///
 /// Why still an answer without any mapping or rule: a client that is told nothing cannot even be
 /// refused, and any proxy that is alive serves it better.
+///
+/// Only proxies in zones that `may_carry` says may carry requests of this client are named.
 pub fn whereabouts_of_host(
     mapping: Option<&Mapping>,
     routes: &[&RouteName],
     group: &str,
     client_zone: &Zone,
     proxies: &[(Zone, SocketAddr)],
+    may_carry: impl Fn(&Zone) -> bool,
     draw: u64,
 ) -> Option<Whereabouts> {
     let mut units: BTreeMap<&Zone, u64> = BTreeMap::new();
@@ -588,7 +625,7 @@
             }
         }
     }
-    let alive = |zone: &Zone| proxies.iter().any(|(known, _)| known == zone);
+    let alive = |zone: &Zone| may_carry(zone) && proxies.iter().any(|(known, _)| known == zone);
     let placed: Vec<(&Zone, u64)> = units
         .into_iter()
         .filter(|(zone, units)| *units > 0 && alive(zone))
@@ -607,7 +644,7 @@
     let chosen = chosen.or_else(|| Some(client_zone).filter(|zone| alive(zone)));
     let addresses: Vec<SocketAddr> = proxies
         .iter()
-        .filter(|(zone, _)| chosen.is_none_or(|chosen| chosen == zone))
+        .filter(|(zone, _)| chosen.is_none_or(|chosen| chosen == zone) && may_carry(zone))
         .map(|(_, address)| *address)
         .collect();
     (!addresses.is_empty()).then(|| Whereabouts {
--- a/crates/caperworks/src/prelude.rs
+++ b/crates/caperworks/src/prelude.rs
@@ -20,6 +20,7 @@
 pub use crate::envelope_clock::*;
 pub use crate::facts::*;
 pub use crate::feed::*;
+pub use crate::home_bounds::*;
 pub use crate::identifiers::*;
 pub use crate::instances::*;
 pub use crate::island::*;
--- a/crates/caperworks/tests/placement_stories.rs
+++ b/crates/caperworks/tests/placement_stories.rs
@@ -352,9 +352,20 @@
     }
 
     fn solves(&self, solver: &mut Solver, seconds: u64, last: Option<&Mapping>) -> Mapping {
+        self.solves_for(solver, seconds, last, false)
+    }
+
+    /// Solves for hosts whose requests proxies elsewhere send home, or for routes that stay home.
+    fn solves_for(
+        &self,
+        solver: &mut Solver,
+        seconds: u64,
+        last: Option<&Mapping>,
+        hosts_carried_home: bool,
+    ) -> Mapping {
         let view = ProblemView {
-            by_host: false,
-            carries_home: false,
+            by_host: hosts_carried_home,
+            carries_home: hosts_carried_home,
             configuration: &self.configuration,
             instances: &self.instances,
             members: &self.members,
@@ -554,3 +565,137 @@
     let carriers = carrying(&mapping, "10.1.2.0/24");
     assert_eq!(carriers, ["w2".to_string()].into());
 }
+
+/// Adds a route to the host of the first one, by a name that comes before it and without a home.
+fn add_route_without_home(bench: &mut Bench) {
+    let mut other = bench.configuration.items["rule/progress"].value.clone();
+    if let Value::Route { route } = &mut other {
+        route.homes.clear();
+        route.path = "/free".to_string();
+    }
+    let put = Put {
+        key: "rule/free".to_string(),
+        expected: None,
+        value: Some(other),
+        written: None,
+    };
+    bench.configuration.apply(&Change {
+        id: ChangeId::new("free"),
+        puts: vec![put],
+        guards: Vec::new(),
+    });
+}
+
+#[test]
+fn given_a_host_with_a_home_when_its_home_is_full_then_clients_there_are_sent_to_no_other_region() {
+    let mut bench = Bench::new(Some("east"));
+    add_route_without_home(&mut bench);
+    bench.proxy_says(Duration::from_secs(2), "e1", true, 900);
+    directory_says(&mut bench, "e1");
+    let mapping = bench.solves_for(&mut Solver::default(), 2, None, true);
+    let carriers = carrying(&mapping, "10.1.2.0/24");
+    let home: BTreeSet<String> = ["e1".to_string(), "e2".to_string()].into();
+    assert!(
+        !carriers.is_empty() && carriers.is_subset(&home),
+        "{carriers:?}"
+    );
+}
+
+#[test]
+fn given_a_host_with_a_home_when_clients_stand_elsewhere_then_their_own_region_carries_them() {
+    let mut bench = Bench::new(Some("east"));
+    add_route_without_home(&mut bench);
+    proxy_cannot_measure(&mut bench, "w1", 20);
+    directory_says(&mut bench, "w1");
+    let mapping = bench.solves_for(&mut Solver::default(), 2, None, true);
+    let carriers = carrying(&mapping, "10.1.2.0/24");
+    assert_eq!(carriers, ["w1".to_string()].into());
+}
+
+#[test]
+fn given_a_mapping_that_names_another_region_when_a_host_has_a_home_then_it_is_not_followed() {
+    let group = "10.1.2.0/24";
+    let mapping = Mapping {
+        epoch: Epoch(1),
+        groups: vec![GroupPlacement {
+            group: group.to_string(),
+            route: RouteName::new("progress"),
+            shares: vec![Share {
+                zone: Zone::new("w1"),
+                units: 10,
+            }],
+            unplaced: 0,
+        }],
+        proxies: 3,
+    };
+    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let proxies = [
+        (Zone::new("e1"), address(1)),
+        (Zone::new("e2"), address(2)),
+        (Zone::new("w1"), address(3)),
+    ];
+    let region = |zone: &Zone| {
+        Region::new(if zone.as_str().starts_with('e') {
+            "east"
+        } else {
+            "west"
+        })
+    };
+    let home = Route {
+        homes: vec![Region::new("east")],
+        ..Route::default()
+    };
+    let bounds = HomeBounds::of([home].iter());
+    let named = |client: &str, alive: &[(Zone, SocketAddr)]| {
+        let client = Zone::new(client);
+        let route = RouteName::new("progress");
+        let may_carry = |zone: &Zone| bounds.allow(Some(&region(zone)), Some(&region(&client)));
+        let found = whereabouts_of_host(
+            Some(&mapping),
+            &[&route],
+            group,
+            &client,
+            alive,
+            may_carry,
+            5,
+        );
+        found.map(|found| found.addresses).unwrap_or_default()
+    };
+    assert_eq!(named("e1", &proxies), [address(1)], "its own zone");
+    assert_eq!(
+        named("e1", &proxies[1..]),
+        [address(2)],
+        "its own zone is down"
+    );
+    assert_eq!(
+        named("e1", &proxies[2..]),
+        [],
+        "only a third region is left"
+    );
+    assert_eq!(named("w1", &proxies), [address(3)], "its own region");
+    assert_eq!(named("w1", &proxies[..2]), [address(1), address(2)], "home");
+}
+
+#[test]
+fn given_routes_with_homes_of_their_own_when_a_host_is_asked_for_then_all_of_them_bind() {
+    let bound = |homes: &[&str]| Route {
+        homes: homes.iter().map(|home| Region::new(*home)).collect(),
+        ..Route::default()
+    };
+    let (east, west, north) = (
+        Region::new("east"),
+        Region::new("west"),
+        Region::new("north"),
+    );
+    let routes = [bound(&["east", "west"]), bound(&[]), bound(&["east"])];
+    let bounds = HomeBounds::of(routes.iter());
+    assert!(bounds.allow(Some(&east), Some(&north)), "home of all");
+    assert!(!bounds.allow(Some(&west), Some(&north)), "home of one only");
+    assert!(bounds.allow(Some(&north), Some(&north)), "the client's");
+    assert!(!bounds.allow(None, None), "nothing is known of either");
+    let free = HomeBounds::of([bound(&[])].iter());
+    assert!(
+        free.allow(Some(&west), None) && free.allow(None, None),
+        "no bound"
+    );
+}
--- a/crates/directory/src/machine.rs
+++ b/crates/directory/src/machine.rs
@@ -71,6 +71,7 @@
     link: CoreLink,
     counter: u64,
     table: RouteTable,
+    regions: BTreeMap<Zone, Region>,
     /// The proxies as last heard: kept when the core falls silent.
     proxies: Vec<(Zone, SocketAddr)>,
     chance: Chance,
@@ -91,6 +92,7 @@
             link,
             counter: 0,
             table: RouteTable::default(),
+            regions: BTreeMap::new(),
             proxies: Vec::new(),
             chance,
             stands: BTreeMap::new(),
@@ -198,7 +200,12 @@
         for map in moved {
             let follower = self.link.feed_cache.follower();
             if map == MapName::Configuration {
-                self.table = RouteTable::of(follower.map(map));
+                let configuration = follower.map(map);
+                self.table = RouteTable::of(configuration);
+                self.regions = configuration
+                    .zones()
+                    .map(|(zone, settings)| (zone, settings.region.clone()))
+                    .collect();
             }
             let version = follower.map(map).version;
             outputs.push(DirectoryOutput::Moved { map, version });
@@ -244,8 +251,12 @@
         let draw = self.chance.draw();
         let feed_cache = self.link.feed_cache.follower();
         let routes: Vec<&RouteName> = self.table.of_host(host).map(|(name, _)| name).collect();
+        let bounds = HomeBounds::of(self.table.of_host(host).map(|(_, route)| route.as_ref()));
+        let client = self.regions.get(zone);
+        let may_carry = |proxy: &Zone| bounds.allow(self.regions.get(proxy), client);
         let mapping = feed_cache.map(MapName::Placement).mapping();
-        whereabouts_of_host(mapping, &routes, &group, zone, &self.proxies, draw)
+        let proxies = &self.proxies;
+        whereabouts_of_host(mapping, &routes, &group, zone, proxies, may_carry, draw)
             .ok_or(Nowhere::NoPlace)
     }
 
--- a/crates/simulator/src/day.rs
+++ b/crates/simulator/src/day.rs
@@ -94,6 +94,28 @@
     pub on_yes: bool,
 }
 
+/// What the day's operators want of the core, where it differs from the product's defaults.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct DayPolicy {
+    /// Proxies out of touch go on with what they last knew.
+    pub serves_on: bool,
+    pub synced_controllers: Option<usize>,
+    pub witness_voters: Option<usize>,
+}
+
+impl DayPolicy {
+    /// The same for a controller.
+    pub fn core(self) -> CorePolicy {
+        let usual = CorePolicy::default();
+        CorePolicy {
+            proxies_serve_on: self.serves_on,
+            synced_controllers: self.synced_controllers.or(usual.synced_controllers),
+            witness_voters: self.witness_voters.unwrap_or(usual.witness_voters),
+            ..usual
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 pub struct Day {
     pub deployment: String,
@@ -116,6 +138,7 @@
     pub broken_controller: Broken,
     pub broken_proxy: BrokenProxy,
     pub broken_island: BrokenIsland,
+    pub policy: DayPolicy,
     /// Instances heartbeat to the controllers, and not to agents.
     pub heartbeats_to_controllers: bool,
     pub careless_agents: bool,
@@ -199,6 +222,9 @@
             "served_at_least",
             "kept_at_least",
             "heartbeats_to",
+            "out_of_touch",
+            "synced_ledgers",
+            "witness_seats",
         ];
         let known_of_fault = [
             "at_ms",
@@ -267,6 +293,15 @@
             let remedy = "say controllers, or leave it out: then agents hear them".to_string();
             fault("heartbeats_to".to_string(), remedy);
         }
+        let out_of_touch = &value["out_of_touch"];
+        if !["silent", "serve-on"]
+            .iter()
+            .any(|known| out_of_touch == *known)
+            && !out_of_touch.is_null()
+        {
+            let remedy = "say silent or serve-on, or leave it out".to_string();
+            fault("out_of_touch".to_string(), remedy);
+        }
         let deployed = value["deployment"].as_str().unwrap_or("tallowgum");
         match deployment(deployed) {
             Err(remedy) => fault("deployment".to_string(), remedy),
@@ -316,6 +351,11 @@
             broken_controller: Broken::Nothing,
             broken_proxy: BrokenProxy::Nothing,
             broken_island: BrokenIsland::Nothing,
+            policy: DayPolicy {
+                serves_on: value["out_of_touch"] == "serve-on",
+                synced_controllers: value["synced_ledgers"].as_usize(),
+                witness_voters: value["witness_seats"].as_usize(),
+            },
             heartbeats_to_controllers: value["heartbeats_to"] == "controllers",
             careless_agents: false,
             careless_instances: false,
--- a/crates/simulator/src/observers/attempts.rs
+++ b/crates/simulator/src/observers/attempts.rs
@@ -26,6 +26,9 @@
     pub proxy_zone: &'order Zone,
     pub proxy_region: &'order Region,
     pub configuration: Version,
+    /// Whether the proxy has to follow the core in time. One that serves on need not while it is out
+    /// of touch; one that falls silent always has to.
+    pub follows: bool,
 }
 
 impl Observers {
@@ -66,9 +69,11 @@
 
     /// A request reached an instance; it must be one that it may reach.
     pub fn reached(&mut self, at: Duration, reached: &Reached<'_>) {
-        self.check_leaving(at, reached);
-        self.check_configuration(at, reached);
-        self.check_closed(at, reached);
+        if reached.follows {
+            self.check_leaving(at, reached);
+            self.check_configuration(at, reached);
+            self.check_closed(at, reached);
+        }
         self.check_home(at, reached);
         self.tally.cross_zone += u64::from(reached.instance.zone != *reached.proxy_zone);
         self.tally.cross_region += u64::from(reached.region != reached.proxy_region);
--- a/crates/simulator/src/world/bodies.rs
+++ b/crates/simulator/src/world/bodies.rs
@@ -12,13 +12,13 @@
         let body = match &node.kind {
             Kind::Controller => return self.controller_of(place, seed),
             Kind::Agent => Body::Agent(Box::new(self.agent_of(node, seed))),
-            Kind::Proxy { capacity, .. } => Body::Proxy(Box::new(SimProxy::new(
-                node.zone.clone(),
-                node.address,
-                *capacity,
-                seed,
-                self.day.broken_proxy,
-            ))),
+            Kind::Proxy { capacity, .. } => {
+                let broken = self.day.broken_proxy;
+                let zone = node.zone.clone();
+                let mut proxy = SimProxy::new(zone, node.address, *capacity, seed, broken);
+                proxy.knowledge.policy.serves_on = self.day.policy.serves_on;
+                Body::Proxy(Box::new(proxy))
+            }
             Kind::Directory => Body::Directory(Box::new(self.directory_of(node, seed))),
             Kind::Instance {
                 service,
@@ -59,7 +59,10 @@
             ControllerOptions::new(node.address, node.zone.clone(), self.seeds.clone())
                 .disk_room(8 * 1024 * 1024, 64 * 1024)
                 .broken(self.day.broken_controller);
-        options.core.stamped_heartbeats = !self.day.heartbeats_to_controllers;
+        options.core = CorePolicy {
+            stamped_heartbeats: !self.day.heartbeats_to_controllers,
+            ..self.day.policy.core()
+        };
         let (machine, first) = ControllerMachine::start(options, &node.disk.synced, seed);
         self.observers.controller_back(machine.node());
         (Body::Controller(Box::new(machine)), first)
@@ -67,7 +70,7 @@
 
     fn agent_of(&self, node: &Node, seed: u64) -> AgentMachine {
         let options = AgentOptions {
-            proxy_serves_on: false,
+            proxy_serves_on: self.day.policy.serves_on,
             instance_span: INSTANCE_SPAN,
             lease_span: LEASE_SPAN,
             heartbeat_refresh: Duration::ZERO,
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -19,6 +19,7 @@
 mod proxies;
 mod schedule;
 mod targets;
+mod touch;
 
 /// How often each node's state machine is told the time.
 const TICK: Duration = Duration::from_millis(25);
@@ -46,6 +47,8 @@
     queued: u64,
     next_request: u64,
     tickets: HashMap<(usize, u64), HeartbeatTicket>,
+    /// When each proxy was last out of touch with the core.
+    out_of_touch_at: HashMap<usize, Duration>,
     next_ticket: u64,
     operator_calls: HashMap<u64, Change>,
     proposal_outcomes: HashMap<ChangeId, ProposalOutcome>,
@@ -101,6 +104,7 @@
             queued: 0,
             next_request: 0,
             tickets: HashMap::new(),
+            out_of_touch_at: HashMap::new(),
             next_ticket: FIRST_HEARTBEAT_TICKET,
             operator_calls: HashMap::new(),
             proposal_outcomes: HashMap::new(),
--- a/crates/simulator/src/world/observation.rs
+++ b/crates/simulator/src/world/observation.rs
@@ -62,12 +62,14 @@
             proxy_zone: &proxy_zone,
             proxy_region: self.regions.get(&proxy_zone).unwrap_or(&nowhere),
             configuration,
+            follows: self.must_follow(proxy),
         };
         self.observers.reached(self.now, &reached);
     }
 
     pub(super) fn observe(&mut self) {
         self.push(self.now + super::OBSERVE_PERIOD, Due::Observe);
+        self.note_touch();
         let mut live: Vec<(&ServiceName, &InstanceId, Vec<u32>, Duration)> = Vec::new();
         for place in 0..self.nodes.len() {
             if let Some(Body::Instance(instance)) = &self.nodes[place].body {
--- /dev/null
+++ b/crates/simulator/src/world/touch.rs
@@ -0,0 +1,75 @@
+//! Which proxies are in touch with the core, as the network and the machines have it.
+
+use crate::prelude::*;
+
+/// For how long a proxy has to have been in touch before it has to follow the core in time.
+const TOUCH_SPAN: Duration = Duration::from_secs(5);
+
+impl World {
+    /// Whether this proxy has to follow the core within the bounds of the brief.
+    pub(super) fn must_follow(&self, proxy: usize) -> bool {
+        if !self.day.policy.serves_on {
+            return true;
+        }
+        let out_at = self.out_of_touch_at.get(&proxy);
+        out_at.is_none_or(|out_at| self.now.saturating_sub(*out_at) >= TOUCH_SPAN)
+    }
+
+    /// Notes the proxies that do not run, or that cannot reach the core both ways.
+    pub(super) fn note_touch(&mut self) {
+        if !self.day.policy.serves_on {
+            return;
+        }
+        let core = self.connected_controllers();
+        for place in 0..self.nodes.len() {
+            let Kind::Proxy { agent, .. } = self.nodes[place].kind else {
+                continue;
+            };
+            let is_in_touch = self.runs(place)
+                && self.runs(agent)
+                && self.is_joined(place, agent)
+                && !core.is_empty()
+                && core
+                    .iter()
+                    .all(|controller| self.is_joined(agent, *controller));
+            if !is_in_touch {
+                self.out_of_touch_at.insert(place, self.now);
+            }
+        }
+    }
+
+    /// The controllers that run and reach more than half of all; none if there are none.
+    fn connected_controllers(&self) -> Vec<usize> {
+        let is_controller = |place: &usize| matches!(self.nodes[*place].kind, Kind::Controller);
+        let all: Vec<usize> = (0..self.nodes.len())
+            .filter(is_controller)
+            .filter(|place| !self.nodes[*place].left_for_good)
+            .collect();
+        let running: Vec<usize> = all
+            .iter()
+            .copied()
+            .filter(|place| self.runs(*place))
+            .collect();
+        let reaches_most = |place: &usize| {
+            let reached = running
+                .iter()
+                .filter(|other| *other == place || self.is_core_joined(*place, **other));
+            reached.count() * 2 > all.len()
+        };
+        running.iter().copied().filter(reaches_most).collect()
+    }
+
+    fn runs(&self, place: usize) -> bool {
+        self.nodes[place].body.is_some() && !self.nodes[place].frozen
+    }
+
+    fn is_joined(&self, one: usize, other: usize) -> bool {
+        !self.network.is_cut(one, other) && !self.network.is_cut(other, one)
+    }
+
+    /// The same for two controllers, which may be parted from each other alone.
+    fn is_core_joined(&self, one: usize, other: usize) -> bool {
+        let apart = &self.network.parted;
+        self.is_joined(one, other) && !apart.contains(&one) && !apart.contains(&other)
+    }
+}
--- a/crates/simulator/tests/observers.rs
+++ b/crates/simulator/tests/observers.rs
@@ -285,3 +285,17 @@
         day.broken_controller = Broken::LoneMajority;
     });
 }
+
+#[test]
+fn given_proxies_that_ignore_leaving_when_they_serve_on_in_touch_then_it_is_seen() {
+    is_caught("serve-on", Line::ReachedLeaving, |day| {
+        day.broken_proxy = BrokenProxy::IgnoresLeaving;
+    });
+}
+
+#[test]
+fn given_controllers_that_grant_alone_when_proxies_serve_on_in_touch_then_it_is_seen() {
+    is_caught("serve-on", Line::OldConfiguration, |day| {
+        day.broken_controller = Broken::LoneGrants;
+    });
+}
