A proxy that serves on sees by itself that its link is full, and refuses when stale

Past its lease only a proxy that serves on sends, and its agent had had no slow answer by which to tell a full link from a cut. Ruled out: late heartbeats of the drained instance.

Change: most connections opened in the last 2 s being slow tells it too; a slow answer counts for 6 s, where it was 3.

--- a/crates/caperworks/src/dispatch.rs
+++ b/crates/caperworks/src/dispatch.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod failure;
 mod instance_watch;
+mod link_watch;
 mod proxy_knowledge;
 mod request_chart;
 mod retry_budget;
@@ -12,6 +13,7 @@
 
 pub use self::failure::*;
 pub(crate) use self::instance_watch::*;
+pub use self::link_watch::*;
 pub use self::proxy_knowledge::*;
 pub use self::request_chart::*;
 pub use self::retry_budget::*;
--- a/crates/caperworks/src/link.rs
+++ b/crates/caperworks/src/link.rs
@@ -12,7 +12,9 @@
 /// Why so long: regions lie some 0.1 s apart, and a link that is not full adds little to that.
 pub const SLOW_ANSWER: Duration = Duration::from_millis(400);
 /// How long after the last slow answer the core's silence counts as a slow link and not as a cut.
-pub const SLOW_LINK_SPAN: Duration = LEASE_SPAN;
+///
+/// Why twice a lease: behind a full link answers become slow before none comes at all for a while.
+pub const SLOW_LINK_SPAN: Duration = Duration::from_millis(6000);
 
 /// What followed from an answer to a question for pieces.
 #[derive(Debug, Clone, PartialEq, Default)]
--- a/crates/caperworks/src/prelude.rs
+++ b/crates/caperworks/src/prelude.rs
@@ -4,6 +4,7 @@
 pub use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 pub use std::fmt;
 pub use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+pub use std::sync::atomic::{AtomicU64, Ordering};
 pub use std::sync::Arc;
 pub use std::time::Duration;
 
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -41,8 +41,10 @@
     ) -> AttemptAnswer {
         let target = guard.target.clone();
         let key = (target.instance.clone(), target.incarnation, target.address);
-        let patience = chart.deadline().saturating_sub(self.clock.now());
+        let asked_at = self.clock.now();
+        let patience = chart.deadline().saturating_sub(asked_at);
         let opened = self.connections.open(&key, patience, chart.is_read()).await;
+        self.note_opening(asked_at, opened.as_ref());
         let Some(mut connection) = opened else {
             return self.not_opened(guard);
         };
@@ -92,6 +94,20 @@
         }
     }
 
+    /// Notes what the opening of a connection tells of this machine's link.
+    fn note_opening(&self, asked_at: Duration, opened: Option<&Connection>) {
+        let now = self.clock.now();
+        let took = now.saturating_sub(asked_at);
+        // Why not one that failed at once: the instance is gone, or there was no time left for it.
+        let tells = match opened {
+            Some(connection) => !connection.reused,
+            None => took >= SLOW_OPENING,
+        };
+        if tells && locked(&self.openings).note(now, took) {
+            self.knowledge().link_watch.note_full(now);
+        }
+    }
+
     /// No connection came about: nothing can have left.
     fn not_opened(&self, mut guard: AttemptGuard) -> AttemptAnswer {
         let now = self.clock.now();
