Followers without a lease say what they asked and heard of late (event 304)

CoreLink counts questions, answers and their age, turns to other controllers, changes (and those held already), whole maps, instances and members; agent and directory log it at most once a second while their lease is out. A directory's MAP_MOVED names the directory, since it shares its log with the agent.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -37,6 +37,9 @@
                         event(MAP_MOVED, format!("{map} at {version}"));
                     }
                     AgentEvent::InstanceGone { id } => event(INSTANCE_GONE, id),
+                    AgentEvent::LinkLate { figures } => {
+                        event(LINK_LATE, format!("agent: {figures}"));
+                    }
                     AgentEvent::PieceRefused { refused, from } => {
                         let RefusedPiece { map, why } = refused;
                         event(PIECE_REFUSED, format!("{map} from {from}: {why}"));
--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -92,6 +92,10 @@
     InstanceGone {
         id: InstanceId,
     },
+    /// There is no lease: what was asked and heard of late.
+    LinkLate {
+        figures: LinkFigures,
+    },
     /// A piece of a map was refused; nothing of it is kept.
     PieceRefused {
         refused: RefusedPiece,
@@ -288,6 +292,10 @@
             let event = AgentEvent::InstanceGone { id };
             outputs.push(AgentOutput::Note { event });
         }
+        if let Some(figures) = self.link.report(now) {
+            let event = AgentEvent::LinkLate { figures };
+            outputs.push(AgentOutput::Note { event });
+        }
         self.answer_late_heartbeats(now, outputs);
         self.stop_when_done(now, outputs);
     }
--- a/crates/caperworks/src/lib.rs
+++ b/crates/caperworks/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod leadership;
 pub mod leases;
 pub mod link;
+pub mod link_figures;
 pub mod map_items;
 pub mod map_weighing;
 pub mod members;
--- a/crates/caperworks/src/link.rs
+++ b/crates/caperworks/src/link.rs
@@ -57,6 +57,7 @@
     catch_up: CatchUpReceiver,
     /// How many proxies there were, as told of late.
     proxies: VecDeque<(Duration, u32)>,
+    reporter: LinkReporter,
 }
 
 impl CoreLink {
@@ -81,6 +82,7 @@
             members: Members::default(),
             catch_up: CatchUpReceiver::new(draw, MOST_FOLLOWED_BYTES),
             proxies: VecDeque::new(),
+            reporter: LinkReporter::default(),
         }
     }
 
@@ -100,6 +102,12 @@
         })
     }
 
+    /// What the log is to be told of the link: only while there is no lease, and now and then.
+    pub fn report(&mut self, now: Duration) -> Option<LinkFigures> {
+        let has_lease = now < self.fresh_until();
+        self.reporter.report(now, has_lease)
+    }
+
     pub fn versions(&self) -> Vec<Version> {
         self.feed_cache.follower().versions()
     }
@@ -123,6 +131,7 @@
             .position(|known| *known == self.controller);
         let next = place.map_or(0, |place| (place + 1) % candidates.len());
         self.controller = candidates[next];
+        self.reporter.figures.turns += 1;
         self.answered_at = now;
         self.renew_at = now;
         // Why here: another one's patience begins anew, and would hide that there was a gap.
@@ -159,6 +168,7 @@
     /// The next renewal, and to whom.
     pub fn renew(&mut self, now: Duration, member: Member) -> (SocketAddr, Message) {
         self.renew_at = now + RENEW_PERIOD;
+        self.reporter.figures.questions += 1;
         let renewal = Renewal {
             number: self.lease.renew(now),
             member,
@@ -186,6 +196,10 @@
 
     /// Takes a controller's answer; says which maps moved on.
     pub fn granted(&mut self, now: Duration, from: NodeId, granted: &Granted) -> Vec<MapName> {
+        let took = self.lease.sent_at(granted.number);
+        let took = took.map(|sent_at| now.saturating_sub(sent_at));
+        let follower = self.feed_cache.follower();
+        self.reporter.figures.count(granted, took, follower);
         // Why dated by our question: an answer that lay in a socket while we slept, or took long on
         // its way, must not make anyone look alive; it cannot be older than what it answers.
         if let Some(sent_at) = self.lease.sent_at(granted.number) {
--- /dev/null
+++ b/crates/caperworks/src/link_figures.rs
@@ -0,0 +1,92 @@
+//! What a follower counts of its link to the core, and tells the log while it has no lease.
+
+use crate::prelude::*;
+
+/// How soon the log is told again.
+pub const REPORT_PERIOD: Duration = Duration::from_secs(1);
+
+/// What a follower asked and heard since it last told the log.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct LinkFigures {
+    pub questions: u64,
+    pub answers: u64,
+    /// Answers to questions so old that it is not known any more when they were sent.
+    pub answers_to_forgotten: u64,
+    pub slowest_answer: Duration,
+    /// How often one controller was left for another.
+    pub turns: u64,
+    pub changes: u64,
+    /// Those of the changes that were held already.
+    pub held_changes: u64,
+    pub whole_maps: u64,
+    pub instances: u64,
+    pub members: u64,
+}
+
+impl LinkFigures {
+    /// Counts an answer; `took` is for how long its question waited, if that is still known.
+    pub fn count(&mut self, granted: &Granted, took: Option<Duration>, held: &Follower) {
+        self.answers += 1;
+        self.answers_to_forgotten += u64::from(took.is_none());
+        self.slowest_answer = self.slowest_answer.max(took.unwrap_or_default());
+        self.instances += granted.instances.len() as u64;
+        self.members += granted.members.len() as u64;
+        for news in &granted.news {
+            self.count_news(news, held);
+        }
+    }
+
+    fn count_news(&mut self, news: &ConsensusMessage, held: &Follower) {
+        match news {
+            ConsensusMessage::News { map, changes } => {
+                let version = held.map(*map).version;
+                let is_held = |numbered: &&NumberedChange| numbered.version <= version;
+                self.changes += changes.len() as u64;
+                self.held_changes += changes.iter().filter(is_held).count() as u64;
+            }
+            ConsensusMessage::Whole { .. } => self.whole_maps += 1,
+            _ => {}
+        }
+    }
+}
+
+impl fmt::Display for LinkFigures {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{} questions, {} answers ({} to forgotten ones, slowest {} ms), {} turns; \
+             {} changes ({} held already), {} whole maps, {} instances, {} members",
+            self.questions,
+            self.answers,
+            self.answers_to_forgotten,
+            self.slowest_answer.as_millis(),
+            self.turns,
+            self.changes,
+            self.held_changes,
+            self.whole_maps,
+            self.instances,
+            self.members,
+        )
+    }
+}
+
+/// When a follower without a lease tells the log, and what.
+#[derive(Debug, Clone, Default)]
+pub struct LinkReporter {
+    pub figures: LinkFigures,
+    next_at: Duration,
+}
+
+impl LinkReporter {
+    /// The figures, if they are due; they begin anew then.
+    ///
+    /// Why not while there is a lease: a link that works is worth no line.
+    pub fn report(&mut self, now: Duration, has_lease: bool) -> Option<LinkFigures> {
+        if now < self.next_at {
+            return None;
+        }
+        self.next_at = now + REPORT_PERIOD;
+        let figures = std::mem::take(&mut self.figures);
+        (!has_lease && figures.questions > 0).then_some(figures)
+    }
+}
--- a/crates/caperworks/src/prelude.rs
+++ b/crates/caperworks/src/prelude.rs
@@ -28,6 +28,7 @@
 pub use crate::leadership::*;
 pub use crate::leases::*;
 pub use crate::link::*;
+pub use crate::link_figures::*;
 pub use crate::map_items::*;
 pub use crate::map_weighing::*;
 pub use crate::members::*;
--- a/crates/directory/src/daemon.rs
+++ b/crates/directory/src/daemon.rs
@@ -27,8 +27,11 @@
                     let RefusedPiece { map, why } = refused;
                     event(PIECE_REFUSED, format!("{map} from {from}: {why}"));
                 }
+                DirectoryOutput::LinkLate { figures } => {
+                    event(LINK_LATE, format!("directory: {figures}"));
+                }
                 DirectoryOutput::Moved { map, version } => {
-                    event(MAP_MOVED, format!("{map} at {version}"));
+                    event(MAP_MOVED, format!("{map} at {version} in the directory"));
                 }
             }
         }
--- a/crates/directory/src/machine.rs
+++ b/crates/directory/src/machine.rs
@@ -38,6 +38,10 @@
         map: MapName,
         version: Version,
     },
+    /// There is no lease: what was asked and heard of late.
+    LinkLate {
+        figures: LinkFigures,
+    },
     /// A piece of a map was refused; nothing of it is kept.
     PieceRefused {
         refused: RefusedPiece,
@@ -134,6 +138,8 @@
     }
 
     fn tick(&mut self, now: Duration, outputs: &mut Vec<DirectoryOutput>) {
+        let figures = self.link.report(now);
+        outputs.extend(figures.map(|figures| DirectoryOutput::LinkLate { figures }));
         let requests = self.link.tick_catch_up(now);
         ask_for_pieces(requests, outputs);
         if self.link.due(now) {
--- a/crates/runtime/src/events.rs
+++ b/crates/runtime/src/events.rs
@@ -54,6 +54,7 @@
     301 Warn STALE "The lease ran out: the proxy refuses requests until it is renewed.";
     302 Warn ON_ISLAND "The core is out of reach; the answers of a majority of the agents keep this one fresh.";
     303 Info OFF_ISLAND "No longer so: the core is heard again, or too few agents are.";
+    304 Warn LINK_LATE "This follower of the core has no lease: what it asked and heard since the last such line, at most one a second.";
     400 Info READY "The proxy is ready.";
     401 Warn NOT_READY "The proxy is not ready.";
     402 Warn BODY_BROKEN "An answer broke off after part of it was sent on; the client's connection was broken.";
