--- /dev/null
+++ b/crates/controller/tests/fleet_stories/fleet.rs
@@ -0,0 +1,311 @@
+//! Whole controllers in one process, with what instances and operators ask of them.
+
+use crate::support::prelude::*;
+
+pub struct Place {
+    pub machine: Option<ControllerMachine>,
+    pub image: DiskImage,
+    /// Writes are taken in and never carried out.
+    pub disk_hangs: bool,
+    pub core: CorePolicy,
+}
+
+/// Controllers in one process: messages are carried by hand, writes are synced at once.
+pub struct Fleet {
+    pub places: Vec<Place>,
+    pub now: Duration,
+    pub wire: VecDeque<(SocketAddr, Envelope)>,
+    /// What was sent to addresses that are no controller's.
+    pub to_followers: Vec<(SocketAddr, Envelope)>,
+    /// Places that nothing comes to and nothing leaves.
+    pub cut: BTreeSet<usize>,
+    pub answers: BTreeMap<u64, OperatorAnswer>,
+    pub founded: u32,
+    pub events: Vec<(usize, Event)>,
+    /// Places whose polite stop is done.
+    pub stopped: BTreeSet<usize>,
+    pub seeds_drawn: u64,
+    pub tickets: u64,
+    pub broken: Broken,
+}
+
+impl Fleet {
+    pub fn new(policies: [CorePolicy; 3], seed: u64) -> Self {
+        let mut fleet = Self {
+            places: Vec::new(),
+            now: Duration::ZERO,
+            wire: VecDeque::new(),
+            to_followers: Vec::new(),
+            cut: BTreeSet::new(),
+            answers: BTreeMap::new(),
+            founded: 0,
+            events: Vec::new(),
+            stopped: BTreeSet::new(),
+            seeds_drawn: seed * 1000,
+            tickets: 0,
+            broken: Broken::Nothing,
+        };
+        for (place, core) in policies.into_iter().enumerate() {
+            fleet.places.push(Place {
+                machine: None,
+                image: DiskImage::default(),
+                disk_hangs: false,
+                core,
+            });
+            fleet.starts(place);
+        }
+        fleet
+    }
+
+    /// A fleet that founded itself and vouches for what it knows.
+    pub fn founded(seed: u64) -> Self {
+        Self::founded_without(seed, Broken::Nothing)
+    }
+
+    /// The same, with a safeguard left out.
+    pub fn founded_without(seed: u64, broken: Broken) -> Self {
+        let mut fleet = Self::new([policy(), policy(), policy()], seed);
+        fleet.broken = broken;
+        for place in 0..3 {
+            fleet.starts(place);
+        }
+        fleet.runs(Duration::from_secs(8));
+        assert_eq!(fleet.founded, 1);
+        fleet
+    }
+
+    /// Starts from what lies on the place's disk.
+    pub fn starts(&mut self, place: usize) {
+        self.seeds_drawn += 1;
+        let seeds = (0..3).map(address).collect();
+        let zone = Zone::new(format!("zone-{place}"));
+        let options = ControllerOptions::new(address(place), zone, seeds)
+            .disk_room(1 << 20, 1 << 16)
+            .core(self.places[place].core.clone())
+            .broken(self.broken);
+        let image = self.places[place].image.clone();
+        let (machine, outputs) = ControllerMachine::start(options, &image, self.seeds_drawn);
+        self.places[place].machine = Some(machine);
+        self.acts(place, outputs);
+    }
+
+    /// Starts a controller with an empty disk at an address of its own.
+    pub fn adds(&mut self, core: CorePolicy) -> usize {
+        self.places.push(Place {
+            machine: None,
+            image: DiskImage::default(),
+            disk_hangs: false,
+            core: CorePolicy {
+                may_found: false,
+                ..core
+            },
+        });
+        let place = self.places.len() - 1;
+        self.starts(place);
+        place
+    }
+
+    /// Power is lost; with the disk or without it.
+    pub fn stops(&mut self, place: usize, wiped: bool) {
+        self.places[place].machine = None;
+        if wiped {
+            self.places[place].image = DiskImage::default();
+            // Why: only the very first start may found.
+            self.places[place].core.may_found = false;
+        }
+    }
+
+    pub fn acts(&mut self, place: usize, outputs: Vec<ControllerOutput>) {
+        let mut outputs = VecDeque::from(outputs);
+        while let Some(output) = outputs.pop_front() {
+            match output {
+                ControllerOutput::Send { to, message } => {
+                    let machine = self.places[place].machine.as_ref().expect("it runs");
+                    self.wire.push_back((to, machine.seal(to, message)));
+                }
+                ControllerOutput::Write { ticket, writes } => {
+                    if self.places[place].disk_hangs {
+                        continue;
+                    }
+                    for write in &writes {
+                        lay(&mut self.places[place].image, write);
+                    }
+                    outputs.extend(self.takes(place, ControllerInput::Synced { ticket }));
+                }
+                ControllerOutput::Answer { ticket, answer } => {
+                    self.answers.insert(ticket, answer);
+                }
+                ControllerOutput::Note { event } => {
+                    self.founded += u32::from(event == Event::Founded);
+                    self.events.push((place, event));
+                }
+                ControllerOutput::Stopped => {
+                    self.stopped.insert(place);
+                }
+            }
+        }
+    }
+
+    pub fn takes(&mut self, place: usize, input: ControllerInput) -> Vec<ControllerOutput> {
+        let now = self.now;
+        let machine = self.places[place].machine.as_mut();
+        machine.map_or_else(Vec::new, |machine| machine.input(now, input))
+    }
+
+    pub fn inputs(&mut self, place: usize, input: ControllerInput) {
+        let outputs = self.takes(place, input);
+        self.acts(place, outputs);
+        self.carries();
+    }
+
+    pub fn carries(&mut self) {
+        while let Some((to, envelope)) = self.wire.pop_front() {
+            let places = self.places.len();
+            let place = (0..places).find(|place| address(*place) == to);
+            let from = (0..places).find(|place| address(*place) == envelope.reply_to);
+            let Some(place) = place else {
+                self.to_followers.push((to, envelope));
+                continue;
+            };
+            let own = from == Some(place);
+            let is_cut =
+                self.cut.contains(&place) || from.is_some_and(|from| self.cut.contains(&from));
+            if is_cut && !own {
+                continue;
+            }
+            let outputs = self.takes(place, ControllerInput::Heard { envelope });
+            self.acts(place, outputs);
+        }
+    }
+
+    pub fn runs(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now += STEP;
+            for place in 0..self.places.len() {
+                self.inputs(place, ControllerInput::Tick);
+            }
+        }
+    }
+
+    pub fn calls(&mut self, place: usize, call: OperatorCall) -> u64 {
+        self.tickets += 1;
+        let ticket = self.tickets;
+        let received_at = self.now;
+        self.inputs(
+            place,
+            ControllerInput::Operator {
+                ticket,
+                call,
+                received_at,
+            },
+        );
+        ticket
+    }
+
+    pub fn proposal_outcome(&self, ticket: u64) -> Option<&ProposalOutcome> {
+        match self.answers.get(&ticket)? {
+            OperatorAnswer::ProposalOutcome { proposal_outcome } => Some(proposal_outcome),
+            other => panic!("{other:?} is no verdict"),
+        }
+    }
+
+    pub fn reads(&mut self, place: usize) -> OperatorAnswer {
+        let ticket = self.calls(place, OperatorCall::Read);
+        self.answers[&ticket].clone()
+    }
+
+    pub fn instances(&mut self, place: usize) -> Vec<String> {
+        let ticket = self.calls(place, OperatorCall::Status);
+        match &self.answers[&ticket] {
+            OperatorAnswer::Status { status } => status
+                .instances
+                .iter()
+                .map(|heartbeat| heartbeat.id.to_string())
+                .collect(),
+            other => panic!("{other:?} is no status"),
+        }
+    }
+
+    pub fn heartbeats(&mut self, place: usize, heartbeat: Heartbeat) -> u64 {
+        self.tickets += 1;
+        let ticket = self.tickets;
+        let echo = None;
+        self.inputs(
+            place,
+            ControllerInput::Heartbeat {
+                ticket,
+                heartbeat,
+                echo,
+            },
+        );
+        ticket
+    }
+
+    pub fn heartbeat_answer(&self, ticket: u64) -> Option<&HeartbeatAnswer> {
+        match self.answers.get(&ticket)? {
+            OperatorAnswer::Heartbeat { answer } => Some(&answer.answer),
+            other => panic!("{other:?} is no answer to a beat"),
+        }
+    }
+
+    pub fn owner_manager(&self) -> usize {
+        let state = &self.places[0].machine.as_ref().expect("it runs").state;
+        let owner_manager = leadership_roles::owner_manager_address(state)
+            .expect("someone has the leadership role");
+        (0..3)
+            .find(|place| address(*place) == owner_manager)
+            .expect("it is one of us")
+    }
+}
+
+pub fn service_put(name: &str, version: u64, value: Option<Service>) -> Put {
+    Put {
+        key: format!("pool/{name}"),
+        expected: None,
+        value: value.map(|service| Value::Service { service }),
+        written: Some(Written {
+            version,
+            text: String::new(),
+        }),
+    }
+}
+
+pub fn service() -> Service {
+    Service {
+        keyed: true,
+        key_ranges: 8,
+        instance_cap: 4,
+        key_cap: 4,
+        cold_rate_milli: u32::MAX,
+        key_space: KeySpace::Ranges,
+        ..Service::default()
+    }
+}
+
+pub fn apply(id: &str, puts: Vec<Put>) -> OperatorCall {
+    let change = Change {
+        id: ChangeId::new(id),
+        puts,
+        guards: Vec::new(),
+    };
+    OperatorCall::Apply { change }
+}
+
+pub fn heartbeat(id: &str, counter: u64) -> Heartbeat {
+    Heartbeat {
+        id: InstanceId::new(id),
+        incarnation: Incarnation(0),
+        counter,
+        service: ServiceName::new("records"),
+        zone: Zone::new("zone-0"),
+        address: SocketAddr::from(([127, 0, 0, 2], 8000)),
+        capacity: 4,
+        state: InstanceState::Serving,
+        load: 0,
+        up: Duration::MAX,
+        holding: Vec::new(),
+        let_go: Vec::new(),
+        cold_left: Duration::ZERO,
+    }
+}
--- /dev/null
+++ b/crates/controller/tests/fleet_stories/prelude.rs
@@ -0,0 +1,4 @@
+//! The one module that each file of these tests imports.
+
+pub use crate::fleet::*;
+pub use crate::support::prelude::*;
--- /dev/null
+++ b/crates/controller/tests/fleet_stories/slow_links.rs
@@ -0,0 +1,390 @@
+//! Stories of followers whose machine has a slow link, while the configuration changes ten times a second.
+//!
+//! An agent and a directory share the machine's link. Each controller has one way to each of them, on which
+//! messages keep their order; the link's rate is shared among the ways that have something to carry.
+
+use crate::prelude::*;
+
+/// As many messages wait on one way to a process, as in the runtime's connections.
+const MOST_WAITING: usize = 512;
+/// What a machine's link carries, in bytes a second.
+const LINK_RATE: f64 = 300_000.0;
+/// What is left of it while other traffic takes the rest.
+const LEFT_RATE: f64 = 20_000.0;
+const ROUTES: u64 = 200;
+const INSTANCES: u64 = 170;
+const HEARTBEAT_PERIOD: Duration = Duration::from_millis(1500);
+const CHANGE_PERIOD: Duration = Duration::from_millis(100);
+const ZONES: u64 = 4;
+
+/// A process beside a proxy that follows the core.
+struct Follower {
+    address: SocketAddr,
+    role: Role,
+    link: CoreLink,
+}
+
+impl Follower {
+    fn new(place: u16, role: Role, second_map: MapName) -> Self {
+        let wants = [MapName::Configuration, second_map, MapName::Membership];
+        let seeds = (0..3).map(address).collect();
+        let node = NodeId(9000 + u64::from(place));
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 3], 6500 + place)),
+            role,
+            link: CoreLink::new(node, &wants, seeds, 0),
+        }
+    }
+
+    fn member(&self, now: Duration) -> Member {
+        Member {
+            node: NodeId(u64::from(self.address.port())),
+            counter: now.as_millis() as u64,
+            role: self.role,
+            zone: Zone::new("zone-0"),
+            control: self.address,
+            serving: self.address,
+            ready: true,
+            capacity: 1,
+            demand: Vec::new(),
+            versions: self.link.versions(),
+            leaving: false,
+            stands: Vec::new(),
+            same_demand: false,
+            silent: false,
+        }
+    }
+
+    /// What it sends on a tick.
+    fn ticks(&mut self, now: Duration) -> Vec<(SocketAddr, Envelope)> {
+        let requests = self.link.tick_catch_up(now);
+        let mut sent: Vec<(SocketAddr, Message)> = requests.iter().map(asked).collect();
+        if self.link.due(now) {
+            let member = self.member(now);
+            sent.push(self.link.renew(now, member));
+        }
+        self.sealed(now, sent)
+    }
+
+    /// What it sends on hearing a controller.
+    fn hears(&mut self, now: Duration, envelope: &Envelope) -> Vec<(SocketAddr, Envelope)> {
+        self.link.envelope_clock.open(now, envelope);
+        let from = envelope.reply_to;
+        let requests = match &envelope.message {
+            Message::Grant { granted } => {
+                self.link.granted(now, envelope.from, granted);
+                self.link.fetch_in_pieces(now, from, granted)
+            }
+            Message::ConsensusMessage { vote } => {
+                let step = self.link.hear_catch_up(now, from, vote);
+                step.request.into_iter().collect()
+            }
+            _ => Vec::new(),
+        };
+        let sent = requests.iter().map(asked).collect();
+        self.sealed(now, sent)
+    }
+
+    fn sealed(
+        &self,
+        now: Duration,
+        sent: Vec<(SocketAddr, Message)>,
+    ) -> Vec<(SocketAddr, Envelope)> {
+        let clock = &self.link.envelope_clock;
+        let seal = |(to, message)| (to, clock.seal(now, self.address, to, message));
+        sent.into_iter().map(seal).collect()
+    }
+
+    fn version(&self) -> u64 {
+        self.link.versions()[MapName::Configuration.index()].0
+    }
+}
+
+/// The agent and the directory of one machine, which hold nothing yet.
+fn followers() -> [Follower; 2] {
+    [
+        Follower::new(0, Role::Proxy, MapName::Ownership),
+        Follower::new(1, Role::Directory, MapName::Placement),
+    ]
+}
+
+/// The message that asks for a piece of a map, and whom.
+fn asked(request: &CatchUpRequest) -> (SocketAddr, Message) {
+    let vote = request.message();
+    (request.to, Message::ConsensusMessage { vote })
+}
+
+/// A message on its way, and how much of it is still to be carried.
+struct Carried {
+    envelope: Envelope,
+    bytes_left: f64,
+}
+
+/// One machine's link: each way from a controller to a process keeps its order.
+#[derive(Default)]
+struct SlowLink {
+    ways: BTreeMap<(SocketAddr, SocketAddr), VecDeque<Carried>>,
+    carried_bytes: f64,
+}
+
+impl SlowLink {
+    fn takes(&mut self, to: SocketAddr, envelope: Envelope) {
+        let way = self.ways.entry((envelope.reply_to, to)).or_default();
+        if way.len() < MOST_WAITING {
+            let bytes = minicbor::to_vec(&envelope).expect("it encodes").len();
+            way.push_back(Carried {
+                envelope,
+                bytes_left: bytes as f64,
+            });
+        }
+    }
+
+    /// Carries what fits into a span; gives what has arrived.
+    fn carries(&mut self, span: Duration, rate: f64) -> Vec<(SocketAddr, Envelope)> {
+        let mut room = rate * span.as_secs_f64();
+        let mut arrived = Vec::new();
+        while room >= 1.0 {
+            let busy = self.ways.values().filter(|way| !way.is_empty()).count();
+            if busy == 0 {
+                break;
+            }
+            let share = room / busy as f64;
+            for ((_, to), way) in &mut self.ways {
+                let Some(first) = way.front_mut() else {
+                    continue;
+                };
+                let carried = first.bytes_left.min(share);
+                first.bytes_left -= carried;
+                room -= carried;
+                self.carried_bytes += carried;
+                if first.bytes_left < 0.5 {
+                    arrived.extend(way.pop_front().map(|carried| (*to, carried.envelope)));
+                }
+            }
+        }
+        arrived
+    }
+}
+
+/// Controllers, and the two processes of one machine that follow them.
+struct World {
+    fleet: Fleet,
+    followers: [Follower; 2],
+    link: SlowLink,
+    rate: f64,
+    change_period: Duration,
+    next_change_at: Duration,
+    next_heartbeats_at: Duration,
+    changes: u64,
+    heartbeats: u64,
+    /// Over so many routes the changes go; those beyond the first are added by them.
+    routes: u64,
+}
+
+impl World {
+    /// A fleet with routes, instances, and followers that hold all of it.
+    fn level(seed: u64) -> Self {
+        let fleet = Fleet::founded(seed);
+        let now = fleet.now;
+        let mut world = Self {
+            fleet,
+            followers: followers(),
+            link: SlowLink::default(),
+            rate: LINK_RATE,
+            change_period: CHANGE_PERIOD,
+            next_change_at: Duration::MAX,
+            next_heartbeats_at: now,
+            changes: 0,
+            heartbeats: 0,
+            routes: ROUTES,
+        };
+        let mut puts: Vec<Put> = (0..ROUTES).map(|number| route_put(number, 1)).collect();
+        puts.extend((0..ZONES).map(zone_put));
+        puts.push(service_put("records", 1, Some(service())));
+        world.fleet.calls(0, apply("first", puts));
+        world.runs(Duration::from_secs(5));
+        world.next_change_at = world.fleet.now;
+        world.runs(Duration::from_secs(5));
+        assert!(world.behind() <= 5, "{} behind at first", world.behind());
+        assert!(
+            world.newest() > 40,
+            "the changes are not taken: {:?}",
+            world.fleet.answers.values().next()
+        );
+        world
+    }
+
+    fn changes_one_route(&mut self) {
+        self.changes += 1;
+        let number = self.changes;
+        let mut puts: Vec<Put> = (0..ZONES).map(zone_put).collect();
+        puts.push(route_put(number % self.routes, 1 + number));
+        let call = apply(&format!("change-{number}"), puts);
+        let place = (number % 3) as usize;
+        self.fleet.calls(place, call);
+    }
+
+    fn heartbeats(&mut self) {
+        self.heartbeats += 1;
+        for number in 0..INSTANCES {
+            let mut beat = heartbeat(&format!("instance-{number}"), self.heartbeats);
+            beat.address = SocketAddr::from(([127, 0, 0, 2], 8000 + number as u16));
+            self.fleet.heartbeats((number % 3) as usize, beat);
+        }
+    }
+
+    fn sends(&mut self, sent: Vec<(SocketAddr, Envelope)>) {
+        self.fleet.wire.extend(sent);
+        self.fleet.carries();
+    }
+
+    fn step(&mut self) {
+        self.fleet.runs(STEP);
+        let now = self.fleet.now;
+        if now >= self.next_change_at {
+            self.next_change_at += self.change_period;
+            self.changes_one_route();
+        }
+        if now >= self.next_heartbeats_at {
+            self.next_heartbeats_at = now + HEARTBEAT_PERIOD;
+            self.heartbeats();
+        }
+        for place in 0..self.followers.len() {
+            let sent = self.followers[place].ticks(now);
+            self.sends(sent);
+        }
+        for (to, envelope) in std::mem::take(&mut self.fleet.to_followers) {
+            self.link.takes(to, envelope);
+        }
+        for (to, envelope) in self.link.carries(STEP, self.rate) {
+            for place in 0..self.followers.len() {
+                if self.followers[place].address == to {
+                    let sent = self.followers[place].hears(now, &envelope);
+                    self.sends(sent);
+                }
+            }
+        }
+    }
+
+    fn runs(&mut self, span: Duration) {
+        let until = self.fleet.now + span;
+        while self.fleet.now < until {
+            self.step();
+        }
+    }
+
+    fn newest(&self) -> u64 {
+        let machine = self.fleet.places[0].machine.as_ref().expect("it runs");
+        machine.state.map(MapName::Configuration).version.0
+    }
+
+    /// How many changes the follower that is furthest behind lacks.
+    fn behind(&self) -> u64 {
+        let held = self.followers.iter().map(Follower::version);
+        self.newest() - held.min().expect("there are some")
+    }
+
+    /// All machines lose power, and return with what lay on their disks.
+    fn loses_power(&mut self) {
+        for place in 0..3 {
+            self.fleet.stops(place, false);
+        }
+        self.fleet.wire.clear();
+        self.link.ways.clear();
+        self.fleet.now += Duration::from_secs(1);
+        for place in 0..3 {
+            self.fleet.starts(place);
+        }
+        self.followers = followers();
+        self.next_change_at = self.fleet.now + Duration::from_secs(1);
+        self.next_heartbeats_at = self.fleet.now;
+    }
+
+    fn all_fresh(&self) -> bool {
+        let now = self.fleet.now;
+        let is_fresh = |follower: &Follower| now < follower.link.fresh_until();
+        self.followers.iter().all(is_fresh)
+    }
+}
+
+fn zone_put(number: u64) -> Put {
+    Put {
+        key: format!("area/zone-{number}"),
+        expected: None,
+        value: Some(Value::Zone {
+            zone: ZoneSettings {
+                region: Region::new("east"),
+                closed: false,
+            },
+        }),
+        written: Some(Written {
+            version: 0,
+            text: String::new(),
+        }),
+    }
+}
+
+/// A route in about as many bytes as operators write.
+fn route_put(number: u64, version: u64) -> Put {
+    let service = ServiceName::new("records");
+    Put {
+        key: format!("rule/route-{number}"),
+        expected: None,
+        value: Some(Value::Route {
+            route: Route {
+                host: "records.example".to_string(),
+                path: format!("/path-{number}/"),
+                service,
+                deadline: Duration::from_secs(2),
+                body_limit: u64::MAX,
+                key_header: Some("key".to_string()),
+                ..Route::default()
+            },
+        }),
+        written: Some(Written {
+            version,
+            text: format!("{:400}", format!("route {number} at {version}")),
+        }),
+    }
+}
+
+#[test]
+fn given_a_link_that_was_full_for_a_while_when_it_has_room_again_then_followers_are_soon_level() {
+    for seed in 1..4 {
+        let mut world = World::level(seed);
+        // Other traffic takes the link for a while, and changes that had to wait come all at once.
+        world.rate = LEFT_RATE;
+        world.change_period = CHANGE_PERIOD / 4;
+        world.runs(Duration::from_secs(6));
+        world.rate = LINK_RATE;
+        world.change_period = CHANGE_PERIOD;
+        world.runs(Duration::from_secs(3));
+        let behind = world.behind();
+        assert!(
+            behind <= 5,
+            "seed {seed}: {behind} changes behind after 3 s"
+        );
+        assert!(world.all_fresh(), "seed {seed}: a follower has no lease");
+    }
+}
+
+#[test]
+fn given_hundreds_of_changes_when_all_machines_lose_power_then_followers_are_soon_level() {
+    for seed in 1..4 {
+        let mut world = World::level(seed);
+        world.routes = 4 * ROUTES;
+        world.change_period = CHANGE_PERIOD / 4;
+        world.runs(Duration::from_secs(20));
+        world.change_period = CHANGE_PERIOD;
+        world.loses_power();
+        // Clients that were turned away come back, and take most of the link.
+        world.rate = LINK_RATE / 3.0;
+        world.runs(Duration::from_secs(6));
+        let behind = world.behind();
+        assert!(
+            behind <= 5,
+            "seed {seed}: {behind} changes behind after 6 s"
+        );
+        assert!(world.all_fresh(), "seed {seed}: a follower has no lease");
+    }
+}
