A follower asks one question at a time, and answers are bounded and never repeated in a queue

Behind a link that was full for a moment the feed's own repeats kept it full. Class: congestion collapse by repeated work, a load that outlives its cause.

Change: CoreLink has one renewal under way; it asks again when the answer takes longer than answers took of late (RFC 6298, answer_timer.rs) and leaves a controller no sooner than that. A grant holds at most 16 KiB of each map's news, the oldest first, and 128 facts; whoever lacks more asks again at once, and a part counts as progress. A grant or view that waits to be written gives way to the next one (runtime, outgoing_queue.rs).

--- a/crates/agent/tests/agent_stories.rs
+++ b/crates/agent/tests/agent_stories.rs
@@ -108,6 +108,7 @@
                 assured: core == Core::Answers,
                 gone: self.ended.clone(),
                 in_pieces: Vec::new(),
+                more: false,
             };
             outputs.extend(self.says(now, Message::Grant { granted }));
         }
@@ -243,6 +244,7 @@
         assured: true,
         gone: Vec::new(),
         in_pieces: Vec::new(),
+        more: false,
     }
 }
 
@@ -404,6 +406,7 @@
         assured: true,
         gone: Vec::new(),
         in_pieces: Vec::new(),
+        more: false,
     };
     bench.says(millis(50), Message::Grant { granted });
 }
--- /dev/null
+++ b/crates/caperworks/src/answer_timer.rs
@@ -0,0 +1,58 @@
+//! How long a question may go unanswered before it is asked again, after RFC 6298: by how long answers
+//! took of late and by how much that varied.
+//!
+//! Why measured: a question that is asked again while its answer is under way over a slow link brings the
+//! same answer twice, and makes the link slower still.
+
+use crate::prelude::*;
+
+/// The least patience; a question over a fast link that is lost is asked again as soon.
+pub const LEAST_ANSWER_PATIENCE: Duration = Duration::from_millis(300);
+/// The most patience, whatever was measured: a lease lives no longer.
+pub const MOST_ANSWER_PATIENCE: Duration = Duration::from_millis(3000);
+/// The most patience while nothing is answered.
+///
+/// Why less: silence may be a cut, and after its end a follower is to ask again soon.
+pub const MOST_SILENT_PATIENCE: Duration = Duration::from_millis(1000);
+
+/// Weighs a new measurement against the smoothed ones before it, as one part in so many.
+const SMOOTHING: u32 = 8;
+const VARIATION_SMOOTHING: u32 = 4;
+
+/// Measures how long answers take.
+#[derive(Debug, Clone, Default)]
+pub struct AnswerTimer {
+    smoothed: Option<Duration>,
+    variation: Duration,
+    /// How many questions in a row were not answered in time.
+    unanswered: u32,
+}
+
+impl AnswerTimer {
+    /// An answer came after so long.
+    pub fn answered_after(&mut self, took: Duration) {
+        self.unanswered = 0;
+        let Some(smoothed) = self.smoothed else {
+            self.smoothed = Some(took);
+            self.variation = took / 2;
+            return;
+        };
+        let off = smoothed.abs_diff(took);
+        self.variation = (self.variation * (VARIATION_SMOOTHING - 1) + off) / VARIATION_SMOOTHING;
+        self.smoothed = Some((smoothed * (SMOOTHING - 1) + took) / SMOOTHING);
+    }
+
+    /// A question was not answered in time.
+    pub fn timed_out(&mut self) {
+        self.unanswered += 1;
+    }
+
+    /// How long to wait for the answer to a question that is asked now.
+    pub fn patience(&self) -> Duration {
+        let measured = self.smoothed.unwrap_or_default() + self.variation * 4;
+        let measured = measured.clamp(LEAST_ANSWER_PATIENCE, MOST_ANSWER_PATIENCE);
+        let doublings = self.unanswered.min(u32::BITS / 2);
+        let backed_off = LEAST_ANSWER_PATIENCE * 2u32.pow(doublings);
+        measured.max(backed_off.min(MOST_SILENT_PATIENCE))
+    }
+}
--- a/crates/caperworks/src/catch_up.rs
+++ b/crates/caperworks/src/catch_up.rs
@@ -17,6 +17,11 @@
 
 /// The most bytes of a snapshot in one message.
 pub const PIECE_BYTES: usize = 64 * 1024;
+/// The most bytes of one map's news in a grant.
+///
+/// Why so few: a lease comes with the news, and must not wait long behind it on a slow link; whoever
+/// lacks more asks again at once.
+pub const GRANT_NEWS_BYTES: usize = 16 * 1024;
 /// How long a peer may take over an answer before another is asked; each silent span doubles it, so
 /// that a way which is slow for all of them still brings pieces in time.
 pub const PIECE_PATIENCE: Duration = Duration::from_millis(500);
--- a/crates/caperworks/src/catch_up/sender.rs
+++ b/crates/caperworks/src/catch_up/sender.rs
@@ -16,6 +16,8 @@
     /// It holds all that there is.
     Nothing,
     Inline(ConsensusMessage),
+    /// As many changes as one message may hold; there are more after them.
+    FirstPart(ConsensusMessage),
     /// The map is too large for one message.
     InPieces,
 }
@@ -47,8 +49,8 @@
             .retain(|_, snapshot| now.saturating_sub(snapshot.used_at) < SNAPSHOT_IDLE_SPAN);
     }
 
-    /// What a follower that holds `after` gets with a grant: changes, or a map that fits one piece.
-    /// Larger ones it has to fetch.
+    /// What a follower that holds `after` gets with a grant: changes, the first of them first, or a map
+    /// that fits into a message; larger ones it has to fetch.
     pub fn news_for_follower(
         &mut self,
         now: Duration,
@@ -56,15 +58,24 @@
         map: MapName,
         after: Version,
     ) -> FollowerNews {
-        match voter.news_after(map, after) {
-            None => FollowerNews::Nothing,
-            Some(ConsensusMessage::Whole { .. })
-                if self.encoded(now, map, voter.map(map), after).bytes.len() > PIECE_BYTES =>
-            {
-                FollowerNews::InPieces
-            }
-            Some(news) => FollowerNews::Inline(news),
+        let held = voter.map(map);
+        if after >= held.version {
+            return FollowerNews::Nothing;
+        }
+        let history = voter.history(map);
+        if let Some(first) = history.first_changes_after(after, GRANT_NEWS_BYTES) {
+            let changes = first.changes;
+            let news = ConsensusMessage::News { map, changes };
+            return match first.more {
+                true => FollowerNews::FirstPart(news),
+                false => FollowerNews::Inline(news),
+            };
+        }
+        if self.encoded(now, map, held, after).bytes.len() > GRANT_NEWS_BYTES {
+            return FollowerNews::InPieces;
         }
+        let whole = held.clone();
+        FollowerNews::Inline(ConsensusMessage::Whole { map, whole })
     }
 
     /// Answers a peer that holds `after`: with changes where they reach back so far, or a piece.
--- a/crates/caperworks/src/facts.rs
+++ b/crates/caperworks/src/facts.rs
@@ -128,3 +128,41 @@
     /// When it was last given a place of its own, so that followers hear it.
     pub(crate) told_at: Duration,
 }
+
+/// The first of the facts that a follower lacks.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FirstFacts<Heard> {
+    pub heard: Vec<Heard>,
+    /// Up to which place the follower has been told all of them then.
+    pub place: u64,
+    /// Whether there are more after that place.
+    pub more: bool,
+}
+
+impl<Heard> FirstFacts<Heard> {
+    /// None of them, to a follower that is not told of any.
+    pub fn none(place: u64) -> Self {
+        Self {
+            heard: Vec::new(),
+            place,
+            more: false,
+        }
+    }
+}
+
+/// Of the facts that were learned after a place, the first learned and at most so many.
+///
+/// Why by when they were learned: a follower names one place, and is told what was learned after it.
+pub(crate) fn first_learned<'facts, Fact: 'facts>(
+    known: impl Iterator<Item = &'facts Kept<Fact>>,
+    after: u64,
+    most: usize,
+) -> (Vec<&'facts Kept<Fact>>, bool) {
+    let mut later: Vec<&Kept<Fact>> = known.filter(|kept| kept.learned > after).collect();
+    let more = later.len() > most;
+    if more {
+        later.sort_unstable_by_key(|kept| kept.learned);
+        later.truncate(most);
+    }
+    (later, more)
+}
--- a/crates/caperworks/src/feed.rs
+++ b/crates/caperworks/src/feed.rs
@@ -65,6 +65,20 @@
 /// How much a copy keeps at hand for followers that are a little behind, by [`Change::weight`].
 pub const HISTORY_WEIGHT: usize = 4096;
 
+/// The first of the changes that a follower lacks.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FirstChanges {
+    pub changes: Vec<NumberedChange>,
+    /// Whether there are more after them.
+    pub more: bool,
+}
+
+/// How many bytes a change takes in a message.
+fn encoded_length(numbered: &NumberedChange) -> usize {
+    // Why an invariant: encoding into memory cannot fail for these types.
+    minicbor::to_vec(numbered).expect("a change encodes").len()
+}
+
 /// The changes of late of one map.
 ///
 /// Why bounded by weight and not by count: one mapping of a fleet with very many rules is as large
@@ -100,6 +114,27 @@
         reaches.then(|| self.changes.iter().filter(later).cloned().collect())
     }
 
+    /// The first of the changes after a version, as many as fit into so many bytes and one at least;
+    /// nothing if the history does not reach back so far.
+    pub fn first_changes_after(&self, after: Version, most_bytes: usize) -> Option<FirstChanges> {
+        let first = self.changes.front()?;
+        if first.version > after.next() {
+            return None;
+        }
+        let skipped = (after.next().0 - first.version.0) as usize;
+        let mut bytes = 0;
+        let mut later = self.changes.iter().skip(skipped).peekable();
+        let mut changes = Vec::new();
+        while let Some(numbered) = later.next_if(|numbered| {
+            bytes += encoded_length(numbered);
+            bytes <= most_bytes || changes.is_empty()
+        }) {
+            changes.push(numbered.clone());
+        }
+        let more = later.next().is_some();
+        Some(FirstChanges { changes, more })
+    }
+
     /// How much is at hand, by [`Change::weight`].
     pub fn weight(&self) -> usize {
         self.weight
--- a/crates/caperworks/src/instances.rs
+++ b/crates/caperworks/src/instances.rs
@@ -251,6 +251,26 @@
             .collect()
     }
 
+    /// The first facts learned after a place and at most so many, with their present age.
+    pub fn first_after(
+        &self,
+        now: Duration,
+        place: u64,
+        most: usize,
+    ) -> FirstFacts<HeardHeartbeat> {
+        let (first, more) = first_learned(self.known.values(), place, most);
+        let last = first.last().map(|kept| kept.learned);
+        let heard = first.into_iter().map(|kept| HeardHeartbeat {
+            heartbeat: kept.fact.for_followers(),
+            age: now.saturating_sub(kept.heard_at),
+        });
+        FirstFacts {
+            heard: heard.collect(),
+            place: last.filter(|_| more).unwrap_or(self.learned),
+            more,
+        }
+    }
+
     /// What is known of one instance, with its present age.
     pub fn heard(&self, now: Duration, id: &InstanceId) -> Option<HeardHeartbeat> {
         self.known.get(id).map(|kept| HeardHeartbeat {
--- a/crates/caperworks/src/leases.rs
+++ b/crates/caperworks/src/leases.rs
@@ -14,8 +14,10 @@
 
 /// How many rounds may wait for answers: with reads a round begins as often as every 25 ms.
 const OPEN_ROUNDS: usize = 32;
-/// How many renewals and grants a holder remembers.
+/// How many grants a holder remembers.
 const REMEMBERED_GRANTS: usize = 8;
+/// How many renewals a holder remembers, so that it knows how long a late answer took.
+const REMEMBERED_RENEWALS: usize = 32;
 
 #[derive(Debug, Clone)]
 struct OpenRound {
@@ -164,7 +166,7 @@
     pub fn renew(&mut self, now: Duration) -> u64 {
         self.number += 1;
         self.sent.push_back((self.number, now));
-        if self.sent.len() > REMEMBERED_GRANTS {
+        if self.sent.len() > REMEMBERED_RENEWALS {
             self.sent.pop_front();
         }
         self.number
--- a/crates/caperworks/src/lib.rs
+++ b/crates/caperworks/src/lib.rs
@@ -7,6 +7,7 @@
 #[macro_use]
 mod identifiers;
 
+pub mod answer_timer;
 pub mod catch_up;
 pub mod configuration;
 pub mod consensus;
--- a/crates/caperworks/src/link.rs
+++ b/crates/caperworks/src/link.rs
@@ -3,9 +3,12 @@
 use crate::prelude::*;
 
 pub const RENEW_PERIOD: Duration = Duration::from_millis(300);
+/// How soon a follower asks again that lacks what a grant named.
+const LACKING_PERIOD: Duration = Duration::from_millis(50);
 /// For how long a number of proxies that was told counts.
 const PROXIES_SPAN: Duration = Duration::from_secs(10);
-/// A controller that has not answered for this long is left for another.
+/// A controller that has not answered for this long is left for another, or later over a link on which
+/// answers are known to take longer.
 const PATIENCE: Duration = Duration::from_millis(800);
 /// An answer that took longer came over a slow link.
 ///
@@ -33,6 +36,13 @@
     pub why: PieceRefusal,
 }
 
+/// A renewal that waits for its answer.
+#[derive(Debug, Clone, Copy)]
+struct UnansweredRenewal {
+    number: u64,
+    asked_at: Duration,
+}
+
 #[derive(Debug, Clone)]
 pub struct CoreLink {
     /// The maps that this node follows; the others it need not hold.
@@ -46,6 +56,9 @@
     /// When the last answer of a controller with a majority came, if that answer was slow.
     slow_answer_at: Option<Duration>,
     renew_at: Duration,
+    /// The question that waits for its answer, and when it was asked.
+    unanswered: Option<UnansweredRenewal>,
+    answer_timer: AnswerTimer,
     instances_place: u64,
     members_place: u64,
     pub envelope_clock: EnvelopeClock,
@@ -73,6 +86,8 @@
             answered_at: Duration::ZERO,
             slow_answer_at: None,
             renew_at: Duration::ZERO,
+            unanswered: None,
+            answer_timer: AnswerTimer::default(),
             instances_place: 0,
             members_place: 0,
             envelope_clock: EnvelopeClock::new(node),
@@ -134,6 +149,7 @@
         self.reporter.figures.turns += 1;
         self.answered_at = now;
         self.renew_at = now;
+        self.unanswered = None;
         // Why here: another one's patience begins anew, and would hide that there was a gap.
         self.assured_since = None;
     }
@@ -158,19 +174,36 @@
     }
 
     /// Whether a renewal is due; a silent controller is left first.
+    ///
+    /// Why not while an answer is awaited: each question over a slow link would bring the same changes
+    /// once more, and fill it for good.
     pub fn due(&mut self, now: Duration) -> bool {
-        if now.saturating_sub(self.answered_at) >= PATIENCE {
+        let answer_patience = self.answer_timer.patience();
+        if now.saturating_sub(self.answered_at) >= PATIENCE.max(answer_patience) {
+            self.answer_timer.timed_out();
             self.turn_to_another(now);
         }
-        now >= self.renew_at
+        let Some(unanswered) = self.unanswered else {
+            return now >= self.renew_at;
+        };
+        let is_overdue = now.saturating_sub(unanswered.asked_at) >= answer_patience;
+        if is_overdue {
+            self.answer_timer.timed_out();
+        }
+        is_overdue
     }
 
     /// The next renewal, and to whom.
     pub fn renew(&mut self, now: Duration, member: Member) -> (SocketAddr, Message) {
         self.renew_at = now + RENEW_PERIOD;
         self.reporter.figures.questions += 1;
+        let number = self.lease.renew(now);
+        self.unanswered = Some(UnansweredRenewal {
+            number,
+            asked_at: now,
+        });
         let renewal = Renewal {
-            number: self.lease.renew(now),
+            number,
             member,
             controller: self.controller_node,
             instances_after: self.instances_place,
@@ -200,6 +233,11 @@
         let took = took.map(|sent_at| now.saturating_sub(sent_at));
         let follower = self.feed_cache.follower();
         self.reporter.figures.count(granted, took, follower);
+        if let Some(took) = took {
+            self.answer_timer.answered_after(took);
+        }
+        self.unanswered
+            .take_if(|unanswered| unanswered.number == granted.number);
         // Why dated by our question: an answer that lay in a socket while we slept, or took long on
         // its way, must not make anyone look alive; it cannot be older than what it answers.
         if let Some(sent_at) = self.lease.sent_at(granted.number) {
@@ -233,20 +271,22 @@
             self.slow_answer_at = is_slow.then_some(now);
             self.lease
                 .granted(granted.number, granted.round_age, granted.versions.clone());
-            if self.lease.careless
-                || self
-                    .feed_cache
-                    .follower()
-                    .holds(&granted.versions, &self.wants)
-            {
-                // Why only then: a controller that grants but cannot bring the news that its grant
-                // names is of no use, and is left like a silent one.
+            let follower = self.feed_cache.follower();
+            let holds = self.lease.careless || follower.holds(&granted.versions, &self.wants);
+            // Why only then: a controller that grants but brings nothing of the news that its grant
+            // names is of no use, and is left like a silent one.
+            if holds || !moved.is_empty() {
                 self.answered_at = now;
+            }
+            if holds {
                 self.assured_since.get_or_insert(now);
             } else {
-                self.renew_at = self.renew_at.min(now + Duration::from_millis(50));
+                self.renew_at = self.renew_at.min(now + LACKING_PERIOD);
             }
         }
+        if granted.more {
+            self.renew_at = now;
+        }
         moved
     }
 
--- a/crates/caperworks/src/members.rs
+++ b/crates/caperworks/src/members.rs
@@ -106,6 +106,21 @@
             .collect()
     }
 
+    /// The first facts learned after a place and at most so many, with their present age.
+    pub fn first_after(&self, now: Duration, place: u64, most: usize) -> FirstFacts<HeardMember> {
+        let (first, more) = first_learned(self.known.values(), place, most);
+        let last = first.last().map(|kept| kept.learned);
+        let heard = first.into_iter().map(|kept| HeardMember {
+            member: kept.fact.clone(),
+            age: now.saturating_sub(kept.heard_at),
+        });
+        FirstFacts {
+            heard: heard.collect(),
+            place: last.filter(|_| more).unwrap_or(self.learned),
+            more,
+        }
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = &Member> {
         self.known.values().map(|kept| &kept.fact)
     }
--- a/crates/caperworks/src/messages.rs
+++ b/crates/caperworks/src/messages.rs
@@ -43,6 +43,9 @@
         10 proxies: u32,
         /// Maps that are too large for this message: the follower is to fetch them in pieces.
         11 in_pieces: Vec<MapName>,
+        /// This message does not hold all that the follower lacks: it is to ask again at once.
+        #[cbor(default)]
+        12 more: bool,
     }
 
     /// What one proxy carried in one hour for one rule.
--- a/crates/caperworks/src/prelude.rs
+++ b/crates/caperworks/src/prelude.rs
@@ -11,6 +11,7 @@
 pub use minicbor::{Decode, Encode};
 pub use slab::Slab;
 
+pub use crate::answer_timer::*;
 pub use crate::catch_up::*;
 pub use crate::configuration::*;
 pub use crate::consensus::messages::*;
--- a/crates/caperworks/tests/fact_stories.rs
+++ b/crates/caperworks/tests/fact_stories.rs
@@ -370,6 +370,7 @@
             assured: true,
             gone: Vec::new(),
             in_pieces: Vec::new(),
+            more: false,
         };
         link.granted(millis(now), NodeId(1), &granted);
         link.proxies()
--- a/crates/caperworks/tests/follower_catch_up_stories.rs
+++ b/crates/caperworks/tests/follower_catch_up_stories.rs
@@ -71,8 +71,9 @@
             FollowerNews::InPieces => vec![MAP],
             _ => Vec::new(),
         };
+        let more = matches!(news, FollowerNews::FirstPart(_));
         let news = match news {
-            FollowerNews::Inline(news) => vec![news],
+            FollowerNews::Inline(news) | FollowerNews::FirstPart(news) => vec![news],
             _ => Vec::new(),
         };
         Granted {
@@ -88,6 +89,7 @@
             gone: Vec::new(),
             proxies: 1,
             in_pieces,
+            more,
         }
     }
 }
--- a/crates/caperworks/tests/gone_stories.rs
+++ b/crates/caperworks/tests/gone_stories.rs
@@ -119,6 +119,7 @@
         assured,
         gone: Vec::new(),
         in_pieces: Vec::new(),
+        more: false,
     }
 }
 
--- a/crates/controller/src/machine.rs
+++ b/crates/controller/src/machine.rs
@@ -550,7 +550,11 @@
     } else {
         (0, 0)
     };
-    let (news, in_pieces) = news_for_follower(state, reply_to, &renewal.wants, &member.versions);
+    let FollowerMaps {
+        news,
+        in_pieces,
+        more,
+    } = news_for_follower(state, reply_to, &renewal.wants, &member.versions);
     let round = match state.options.broken {
         Broken::LoneGrants => Some((
             Duration::ZERO,
@@ -562,19 +566,8 @@
             .filter(|round| round.is_under(state.map(MapName::Membership).version))
             .map(|round| (now.saturating_sub(round.started), round.versions.clone())),
     };
-    // Why members only for directories: agents need no more than their number, and with many nodes
-    // the list would be most of what a node hears.
-    let members = match member.role {
-        Role::Directory => state.members.after(now, members_after),
-        Role::Proxy => Vec::new(),
-    };
-    let members = members
-        .into_iter()
-        .map(|mut heard| {
-            heard.member.demand.clear();
-            heard
-        })
-        .collect();
+    let (instances, members) =
+        facts_for_follower(state, member.role, instances_after, members_after);
     let written = state.map(MapName::Placement).mapping();
     let written = written.map_or(0, |mapping| mapping.proxies);
     let proxies = written.max(state.members.ready_proxies().count() as u32);
@@ -584,46 +577,89 @@
         number: renewal.number,
         round_age,
         versions,
-        // Why none for directories: they name proxies only.
-        instances: match member.role {
-            Role::Proxy => state.instances.after(now, instances_after),
-            Role::Directory => Vec::new(),
-        },
-        instances_place: state.instances.learned(),
+        instances: instances.heard,
+        instances_place: instances.place,
         gone: state.instances.ended_after(now, instances_after),
         proxies,
-        members,
-        members_place: state.members.learned(),
+        members: members.heard,
+        members_place: members.place,
         news,
         assured,
         in_pieces,
+        more: more || instances.more || members.more,
     };
     state.send(reply_to, Message::Grant { granted });
 }
 
-/// What a follower lacks of the maps that it wants, and which of them it has to fetch in pieces.
+/// How many instances, and how many members, a grant tells at most; a follower that lacks more asks again
+/// at once.
+const MOST_GRANTED_FACTS: usize = 128;
+
+/// What a grant tells of instances and of members: of the one to proxies, of the other to directories.
+///
+/// Why members only to directories: agents need no more than their number, and with many nodes the list
+/// would be most of what a node hears. Directories name proxies only, and need no instances.
+fn facts_for_follower(
+    state: &ControllerState,
+    role: Role,
+    instances_after: u64,
+    members_after: u64,
+) -> (FirstFacts<HeardHeartbeat>, FirstFacts<HeardMember>) {
+    let now = state.now;
+    let mut instances = FirstFacts::none(state.instances.learned());
+    let mut members = FirstFacts::none(state.members.learned());
+    match role {
+        Role::Proxy => {
+            let most = MOST_GRANTED_FACTS;
+            instances = state.instances.first_after(now, instances_after, most);
+        }
+        Role::Directory => {
+            let most = MOST_GRANTED_FACTS;
+            members = state.members.first_after(now, members_after, most);
+        }
+    }
+    for heard in &mut members.heard {
+        heard.member.demand.clear();
+    }
+    (instances, members)
+}
+
+/// What a grant holds of the maps that a follower wants.
+#[derive(Default)]
+struct FollowerMaps {
+    news: Vec<ConsensusMessage>,
+    /// Maps that it has to fetch in pieces.
+    in_pieces: Vec<MapName>,
+    /// Whether it lacks more than the news.
+    more: bool,
+}
+
 fn news_for_follower(
     state: &mut ControllerState,
     follower: SocketAddr,
     wants: &[MapName],
     held: &[Version],
-) -> (Vec<ConsensusMessage>, Vec<MapName>) {
+) -> FollowerMaps {
     let now = state.now;
-    let (mut news, mut in_pieces) = (Vec::new(), Vec::new());
+    let mut maps = FollowerMaps::default();
     for map in wants.iter().copied() {
         let held = held.get(map.index()).copied().unwrap_or_default();
         let voter = &state.voter;
         match state.snapshots.news_for_follower(now, voter, map, held) {
             FollowerNews::Nothing => {}
-            FollowerNews::InPieces => in_pieces.push(map),
+            FollowerNews::InPieces => maps.in_pieces.push(map),
+            FollowerNews::FirstPart(part) => {
+                maps.news.push(part);
+                maps.more = true;
+            }
             FollowerNews::Inline(inline) => {
                 if state.whole_map_limit.admits(now, follower, &inline) {
-                    news.push(inline);
+                    maps.news.push(inline);
                 }
             }
         }
     }
-    (news, in_pieces)
+    maps
 }
 
 fn synced(state: &mut ControllerState, ticket: u64) {
--- a/crates/runtime/src/connections.rs
+++ b/crates/runtime/src/connections.rs
@@ -5,19 +5,15 @@
 use crate::prelude::*;
 
 const MOST_FRAME: usize = 24 * 1024 * 1024;
-const PENDING_FRAMES: usize = 512;
 const OPEN_PATIENCE: Duration = Duration::from_millis(300);
 const WRITE_PATIENCE: Duration = Duration::from_millis(1500);
 const IDLE_SPAN: Duration = Duration::from_secs(30);
 
-/// The frames on their way to one address.
-type Way = mpsc::Sender<Arc<Vec<u8>>>;
-
 #[derive(Clone)]
 pub struct ControlPort {
     node: NodeId,
     own: SocketAddr,
-    ways: Arc<Mutex<HashMap<SocketAddr, Way>>>,
+    queues: Arc<Mutex<HashMap<SocketAddr, Arc<OutgoingQueue>>>>,
 }
 
 impl ControlPort {
@@ -50,7 +46,7 @@
         Ok(Self {
             node,
             own,
-            ways: Arc::default(),
+            queues: Arc::default(),
         })
     }
 
@@ -72,23 +68,24 @@
 
     /// Sends an envelope as it is, without waiting; what cannot be sent is dropped.
     pub fn forward(&self, to: SocketAddr, envelope: &Envelope) {
-        let Ok(bytes) = minicbor::to_vec(envelope) else {
+        let Ok(mut bytes) = minicbor::to_vec(envelope) else {
             return;
         };
-        let bytes = Arc::new(bytes);
-        let mut ways = locked(&self.ways);
-        if let Some(way) = ways.get(&to) {
-            match way.try_send(bytes.clone()) {
-                Ok(()) | Err(mpsc::error::TrySendError::Full(_)) => return,
-                Err(mpsc::error::TrySendError::Closed(_)) => {
-                    ways.remove(&to);
-                }
+        let mut queues = locked(&self.queues);
+        if let Some(queue) = queues.get(&to) {
+            match queue.push(&envelope.message, bytes) {
+                Ok(()) => return,
+                Err(unsent) => bytes = unsent,
             }
         }
-        let (way, frames) = mpsc::channel(PENDING_FRAMES);
-        let _ = way.try_send(bytes);
-        ways.insert(to, way);
-        tokio::spawn(write_frames(to, frames));
+        let queue = Arc::new(OutgoingQueue::default());
+        // Why not looked at: nobody can have closed a queue that is new.
+        let _ = queue.push(&envelope.message, bytes);
+        queues.insert(to, queue.clone());
+        tokio::spawn(async move {
+            write_frames(to, &queue).await;
+            queue.close();
+        });
     }
 }
 
@@ -131,13 +128,13 @@
 }
 
 /// Writes frames to one address until it fails or falls idle; the next message opens anew.
-async fn write_frames(to: SocketAddr, mut frames: mpsc::Receiver<Arc<Vec<u8>>>) {
+async fn write_frames(to: SocketAddr, queue: &OutgoingQueue) {
     let opening = tokio::time::timeout(OPEN_PATIENCE, TcpStream::connect(to)).await;
     let Ok(Ok(mut stream)) = opening else {
         return;
     };
     let _ = stream.set_nodelay(true);
-    while let Ok(Some(bytes)) = tokio::time::timeout(IDLE_SPAN, frames.recv()).await {
+    while let Ok(bytes) = tokio::time::timeout(IDLE_SPAN, queue.next()).await {
         let mut framed = BytesMut::with_capacity(bytes.len() + 4);
         framed.extend_from_slice(&(bytes.len() as u32).to_be_bytes());
         framed.extend_from_slice(&bytes);
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod freeze_guard;
 pub mod http;
 pub mod options;
+pub mod outgoing_queue;
 pub mod prelude;
 pub mod scenario;
