Followers that only read get maps and changes without what only voters need

Change: FeedForm::Reduced (reduced_map.rs), named by the follower in its renewals and catch-up questions; agents use it unless one of them may become a witness, directories always. A reduced map says that it is one; voters take neither it nor reduced news, and a witness begins with nothing in its place. A reduced transfer begins with pieces of 16 KiB and doubles them while they come promptly. Old releases ask in the complete form and are answered so.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -108,6 +108,7 @@
         control: place.advertise,
         zone: place.zone.clone(),
         seeds: place.seeds.clone(),
+        feed_form: place.terms.core.agents_feed_form(),
         proxy_serves_on: place.terms.proxy.serves_on,
         instance_span: place.terms.core.instance_span,
         lease_span: place.terms.proxy.lease_span.unwrap_or(LEASE_SPAN),
--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -20,6 +20,8 @@
     pub control: SocketAddr,
     pub zone: Zone,
     pub seeds: Vec<SocketAddr>,
+    /// In which form the maps are followed; an agent that may become a witness needs them complete.
+    pub feed_form: FeedForm,
     /// The proxy goes on with what it last knew when the core is out of reach.
     pub proxy_serves_on: bool,
     /// An instance that has not beaten for so long is gone.
@@ -135,7 +137,8 @@
     pub fn start(options: AgentOptions, seed: u64) -> Self {
         let mut chance = Chance::seeded(seed);
         let node = NodeId(chance.draw() >> 1);
-        let mut link = CoreLink::new(node, &FOLLOWED, options.seeds.clone(), chance.draw());
+        let mut link = CoreLink::new(node, &FOLLOWED, options.seeds.clone(), chance.draw())
+            .in_form(options.feed_form);
         link.instances.span = options.instance_span;
         link.lease.span = options.lease_span;
         link.instances.refresh = options.heartbeat_refresh;
--- a/crates/agent/src/witness.rs
+++ b/crates/agent/src/witness.rs
@@ -61,7 +61,8 @@
     /// Takes a witness's voter up or lays it down, as the membership says.
     ///
     /// Why from the copies at hand: whoever made us a voter had settled every map before, and
-    /// what we lack of them we refuse to vote on until we have it.
+    /// what we lack of them we refuse to vote on until we have it. A reduced map lacks what votes are
+    /// weighed by, and counts as lacking whole.
     pub(crate) fn look_for_voter(&mut self) {
         let follower = self.link.feed_cache.follower();
         let mut membership = follower.map(MapName::Membership);
@@ -79,9 +80,13 @@
         } else if self.voter.is_none() {
             let copies = ALL_MAPS
                 .iter()
-                .map(|name| Copy {
-                    map: follower.map(*name).clone(),
-                    ..Copy::empty()
+                .map(|name| follower.map(*name))
+                .map(|map| match map.is_reduced {
+                    true => Copy::empty(),
+                    false => Copy {
+                        map: map.clone(),
+                        ..Copy::empty()
+                    },
                 })
                 .collect();
             self.voter = Some(Voter::restored(copies));
--- a/crates/agent/tests/agent_stories.rs
+++ b/crates/agent/tests/agent_stories.rs
@@ -55,6 +55,7 @@
             control: address(6500),
             zone: Zone::new("e1"),
             seeds: vec![address(6000), address(6001)],
+            feed_form: FeedForm::Complete,
             proxy_serves_on,
             instance_span: SPAN,
             lease_span: LEASE_SPAN,
@@ -477,6 +478,7 @@
             transfer: 7,
             version: Version(u64::from(offset > 0)),
             offset,
+            ..TransferPosition::default()
         };
         let question = ConsensusMessage::CatchUp {
             map,
@@ -505,3 +507,23 @@
         "{answers:?}"
     );
 }
+
+#[test]
+fn given_an_agent_with_reduced_maps_when_it_is_named_a_voter_then_it_counts_them_as_lacking() {
+    let mut bench = Bench::new(true);
+    let node = bench.machine.node();
+    let news = vec![
+        whole(MapName::Membership, membership_with(node)),
+        whole(MapName::Configuration, large_map().reduced()),
+    ];
+    bring(&mut bench, news);
+    let map = MapName::Configuration;
+    let question = ConsensusMessage::CatchUp {
+        map,
+        after: Version(0),
+        position: Some(TransferPosition::default()),
+    };
+    let answers = votes_back(&mut bench, question);
+    let nothing = ConsensusMessage::news(FeedForm::Complete, map, Vec::new());
+    assert_eq!(answers, [nothing]);
+}
--- a/crates/caperworks/src/catch_up.rs
+++ b/crates/caperworks/src/catch_up.rs
@@ -38,13 +38,19 @@
 
 messages! {
     /// Where a transfer stands, as the receiver tells it to the sender.
-    #[derive(Copy, Eq)]
+    #[derive(Copy, Eq, Default)]
     struct TransferPosition {
         /// Drawn anew for each peer that is asked; pieces of earlier ones are refused.
         0 transfer: u64,
         /// The version of the snapshot that is being received; zero when none is.
         1 version: Version,
         2 offset: u64,
+        /// In which form it wants the map, or the changes.
+        #[cbor(default)]
+        3 form: FeedForm,
+        /// The most bytes that the next piece is to hold; zero for as many as a piece may.
+        #[cbor(default)]
+        4 most_bytes: u32,
     }
 
     /// A part of one version of one encoded map.
--- a/crates/caperworks/src/catch_up/receiver.rs
+++ b/crates/caperworks/src/catch_up/receiver.rs
@@ -7,9 +7,22 @@
 const HINT_GAP: Duration = Duration::from_secs(1);
 /// After so many silent spans in a row a transfer is given up; the next hint begins another.
 const MOST_SILENT_SPANS: u32 = 8;
+/// The bytes of the first piece to a follower that only reads, which may be behind a slow link; pieces
+/// that come promptly are followed by larger ones.
+const FIRST_PIECE_BYTES: u32 = 16 * 1024;
+/// A piece that took no longer came over a way that bears a larger one.
+const PROMPT_PIECE: Duration = Duration::from_millis(150);
 /// The most peers that are remembered as able to send a map.
 const MOST_SOURCES: usize = 8;
 
+/// The bytes of a transfer's first piece, and of the next one after a silent span.
+fn first_piece_bytes(form: FeedForm) -> u32 {
+    match form {
+        FeedForm::Complete => PIECE_BYTES as u32,
+        FeedForm::Reduced => FIRST_PIECE_BYTES,
+    }
+}
+
 /// A question for one peer.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CatchUpRequest {
@@ -117,6 +130,9 @@
     /// Whether the peer has sent a piece under this number.
     peer_began: bool,
     partial: Option<PartialSnapshot>,
+    form: FeedForm,
+    /// How many bytes the next piece may have.
+    piece_bytes: u32,
 }
 
 impl Transfer {
@@ -130,6 +146,8 @@
                 transfer: self.number,
                 version: partial.map_or(Version(0), |partial| partial.version),
                 offset: partial.map_or(0, |partial| partial.bytes.len() as u64),
+                form: self.form,
+                most_bytes: self.piece_bytes,
             },
         }
     }
@@ -163,8 +181,7 @@
         if piece.version <= held {
             return Err(PieceRefusal::OlderVersion);
         }
-        let left = piece.total.saturating_sub(piece.offset);
-        if piece.bytes.is_empty() || piece.bytes.len() as u64 != left.min(PIECE_BYTES as u64) {
+        if !self.has_right_length(piece) {
             return Err(PieceRefusal::WrongLength);
         }
         let Some(partial) = &self.partial else {
@@ -189,6 +206,16 @@
         }
     }
 
+    /// Whether it holds as many bytes as were asked for, or as a piece may hold at all.
+    ///
+    /// Why that too: senders of an earlier release know only that one length.
+    fn has_right_length(&self, piece: &SnapshotPiece) -> bool {
+        let left = piece.total.saturating_sub(piece.offset);
+        let length = piece.bytes.len() as u64;
+        let asked = [u64::from(self.piece_bytes), PIECE_BYTES as u64];
+        length > 0 && asked.iter().any(|most| length == left.min(*most))
+    }
+
     /// Adds a piece that was checked; gives the whole once nothing is missing.
     fn add(&mut self, piece: SnapshotPiece) -> Option<PartialSnapshot> {
         self.peer_began = true;
@@ -216,6 +243,7 @@
     transfers: BTreeMap<MapName, Transfer>,
     last_number: u64,
     most_bytes: u64,
+    form: FeedForm,
     pub broken: BrokenCatchUp,
 }
 
@@ -227,10 +255,17 @@
             transfers: BTreeMap::new(),
             last_number: first_number >> 1,
             most_bytes,
+            form: FeedForm::Complete,
             broken: BrokenCatchUp::Nothing,
         }
     }
 
+    /// The same, for a follower that only reads.
+    pub fn in_form(mut self, form: FeedForm) -> Self {
+        self.form = form;
+        self
+    }
+
     /// Whether a transfer of this map is under way.
     pub fn is_receiving(&self, map: MapName) -> bool {
         self.transfers.contains_key(&map)
@@ -280,6 +315,8 @@
             sources: vec![peer],
             peer_began: false,
             partial: None,
+            form: self.form,
+            piece_bytes: first_piece_bytes(self.form),
         };
         let request = transfer.request(map, held);
         self.transfers.insert(map, transfer);
@@ -311,6 +348,7 @@
             transfer.number = number;
             transfer.asked_at = now;
             transfer.patience = (transfer.patience * 2).min(MOST_PIECE_PATIENCE);
+            transfer.piece_bytes = first_piece_bytes(transfer.form);
             transfer.turn_to_next_source();
             requests.push(transfer.request(map, held(map)));
         }
@@ -335,6 +373,9 @@
         if piece.total > self.most_bytes {
             return PieceOutcome::Refused(PieceRefusal::TooLarge);
         }
+        if now.saturating_sub(transfer.asked_at) <= PROMPT_PIECE {
+            transfer.piece_bytes = (transfer.piece_bytes * 2).min(PIECE_BYTES as u32);
+        }
         transfer.asked_at = now;
         let Some(whole) = transfer.add(piece) else {
             return PieceOutcome::Next(transfer.request(map, held));
--- a/crates/caperworks/src/catch_up/sender.rs
+++ b/crates/caperworks/src/catch_up/sender.rs
@@ -22,10 +22,10 @@
     InPieces,
 }
 
-/// The sender's side: at most one encoded snapshot per map, shared by all that ask.
+/// The sender's side: at most one encoded snapshot per map and form, shared by all that ask.
 #[derive(Debug, Clone, Default)]
 pub struct SnapshotSender {
-    snapshots: BTreeMap<MapName, EncodedSnapshot>,
+    snapshots: BTreeMap<(MapName, FeedForm), EncodedSnapshot>,
     encodings: u64,
 }
 
@@ -57,24 +57,24 @@
         voter: &Voter,
         map: MapName,
         after: Version,
+        form: FeedForm,
     ) -> FollowerNews {
         let held = voter.map(map);
         if after >= held.version {
             return FollowerNews::Nothing;
         }
         let history = voter.history(map);
-        if let Some(first) = history.first_changes_after(after, GRANT_NEWS_BYTES) {
-            let changes = first.changes;
-            let news = ConsensusMessage::News { map, changes };
+        if let Some(first) = history.first_changes_after(after, form, GRANT_NEWS_BYTES) {
+            let news = ConsensusMessage::news(form, map, first.changes);
             return match first.more {
                 true => FollowerNews::FirstPart(news),
                 false => FollowerNews::Inline(news),
             };
         }
-        if self.encoded(now, map, held, after).bytes.len() > GRANT_NEWS_BYTES {
+        if self.encoded(now, map, held, after, form).bytes.len() > GRANT_NEWS_BYTES {
             return FollowerNews::InPieces;
         }
-        let whole = held.clone();
+        let whole = map_in_form(held, form);
         FollowerNews::Inline(ConsensusMessage::Whole { map, whole })
     }
 
@@ -90,14 +90,17 @@
         let held = voter.map(map);
         if after >= held.version {
             // Why answered: the peer is to end its transfer, and not to wait for us.
-            let changes = Vec::new();
-            return ConsensusMessage::News { map, changes };
+            return ConsensusMessage::news(position.form, map, Vec::new());
         }
-        match voter.history(map).changes_after(after) {
-            Some(changes) => ConsensusMessage::News {
-                map,
-                changes: first_changes(changes),
-            },
+        let history = voter.history(map);
+        let changes = match position.form {
+            FeedForm::Complete => history.changes_after(after).map(first_changes),
+            FeedForm::Reduced => history
+                .first_changes_after(after, position.form, GRANT_NEWS_BYTES)
+                .map(|first| first.changes),
+        };
+        match changes {
+            Some(changes) => ConsensusMessage::news(position.form, map, changes),
             None => ConsensusMessage::Piece {
                 piece: self.piece(now, map, held, after, position),
             },
@@ -112,12 +115,12 @@
         after: Version,
         position: TransferPosition,
     ) -> SnapshotPiece {
-        let snapshot = self.encoded(now, name, map, after);
+        let snapshot = self.encoded(now, name, map, after, position.form);
         let total = snapshot.bytes.len();
         let asked = position.offset as usize;
         let resumes = position.version == snapshot.version && asked < total;
         let offset = if resumes { asked } else { 0 };
-        let end = total.min(offset + PIECE_BYTES);
+        let end = total.min(offset + piece_length(position.most_bytes));
         SnapshotPiece {
             map: name,
             version: snapshot.version,
@@ -136,13 +139,15 @@
         name: MapName,
         map: &ReplicatedMap,
         after: Version,
+        form: FeedForm,
     ) -> &EncodedSnapshot {
         // Why an earlier version too: a map that moves on during every transfer would otherwise
         // be encoded for every piece, and no transfer would end.
         let is_of_use = |snapshot: &EncodedSnapshot| snapshot.version > after;
-        if !self.snapshots.get(&name).is_some_and(is_of_use) {
+        let place = (name, form);
+        if !self.snapshots.get(&place).is_some_and(is_of_use) {
             // Why an invariant: encoding into memory cannot fail for these types.
-            let bytes = minicbor::to_vec(map).expect("a map encodes");
+            let bytes = minicbor::to_vec(map_in_form(map, form)).expect("a map encodes");
             self.encodings += 1;
             let snapshot = EncodedSnapshot {
                 version: map.version,
@@ -150,17 +155,32 @@
                 bytes,
                 used_at: now,
             };
-            self.snapshots.insert(name, snapshot);
+            self.snapshots.insert(place, snapshot);
         }
         let snapshot = self
             .snapshots
-            .get_mut(&name)
+            .get_mut(&place)
             .expect("it was just put there");
         snapshot.used_at = now;
         snapshot
     }
 }
 
+fn map_in_form(map: &ReplicatedMap, form: FeedForm) -> ReplicatedMap {
+    match form {
+        FeedForm::Complete => map.clone(),
+        FeedForm::Reduced => map.reduced(),
+    }
+}
+
+/// The most bytes of a piece, given what was asked for; zero asks for as many as a piece may hold.
+pub(super) fn piece_length(asked: u32) -> usize {
+    match asked as usize {
+        0 => PIECE_BYTES,
+        asked => asked.min(PIECE_BYTES),
+    }
+}
+
 /// As many of the changes, from the first on, as one answer may hold; at least one.
 fn first_changes(mut changes: Vec<NumberedChange>) -> Vec<NumberedChange> {
     let mut weight = 0;
--- a/crates/caperworks/src/consensus/messages.rs
+++ b/crates/caperworks/src/consensus/messages.rs
@@ -50,6 +50,8 @@
         7 News { 0 map: MapName, 1 changes: Vec<NumberedChange> },
         8 Whole { 0 map: MapName, 1 whole: ReplicatedMap },
         9 Piece { 0 piece: SnapshotPiece },
+        /// News for followers that only read: voters pass it over.
+        10 ReducedNews { 0 map: MapName, 1 changes: Vec<NumberedChange> },
     }
 }
 
--- a/crates/caperworks/src/consensus/voter.rs
+++ b/crates/caperworks/src/consensus/voter.rs
@@ -204,8 +204,9 @@
                 }
             }
             ConsensusMessage::Whole { map, whole } => {
-                // Why only upwards: a copy never goes back to a lower version.
-                if whole.version > self.map(map).version {
+                // Why only upwards: a copy never goes back to a lower version. Why no reduced one: it
+                // lacks what votes are weighed by.
+                if whole.version > self.map(map).version && !whole.is_reduced {
                     self.copies[map.index()] = Copy {
                         map: whole,
                         promised: Ballot::NONE,
@@ -219,7 +220,8 @@
             ConsensusMessage::Promise { .. }
             | ConsensusMessage::Accepted { .. }
             | ConsensusMessage::Reject { .. }
-            | ConsensusMessage::Piece { .. } => {}
+            | ConsensusMessage::Piece { .. }
+            | ConsensusMessage::ReducedNews { .. } => {}
         }
         outcome
     }
--- a/crates/caperworks/src/feed.rs
+++ b/crates/caperworks/src/feed.rs
@@ -35,30 +35,29 @@
 
     /// Takes news in; says whether the map moved on.
     pub fn take(&mut self, news: &ConsensusMessage) -> Option<MapName> {
-        match news {
-            ConsensusMessage::News { map: name, changes } => {
-                let map = &mut self.maps[name.index()];
-                let before = map.version;
-                for numbered in changes {
-                    // Why only the very next: a gap means news was lost, and the next question
-                    // will ask from where we stand.
-                    if numbered.version == map.version.next() {
-                        map.apply(&numbered.change);
-                    }
-                }
-                (map.version > before).then_some(*name)
+        if let ConsensusMessage::Whole { map: name, whole } = news {
+            let map = &mut self.maps[name.index()];
+            let is_later = whole.version > map.version;
+            if is_later {
+                *map = whole.clone();
             }
-            ConsensusMessage::Whole { map: name, whole } => {
-                let map = &mut self.maps[name.index()];
-                if whole.version > map.version {
-                    *map = whole.clone();
-                    Some(*name)
-                } else {
-                    None
-                }
+            return is_later.then_some(*name);
+        }
+        let news = news.follower_news()?;
+        let map = &mut self.maps[news.map.index()];
+        let before = map.version;
+        for numbered in news.changes {
+            // Why only the very next: a gap means news was lost, and the next question will ask from
+            // where we stand.
+            if numbered.version != map.version.next() {
+                continue;
+            }
+            match news.form {
+                FeedForm::Complete => map.apply(&numbered.change),
+                FeedForm::Reduced => map.apply_reduced(&numbered.change),
             }
-            _ => None,
         }
+        (map.version > before).then_some(news.map)
     }
 }
 
@@ -116,20 +115,26 @@
 
     /// The first of the changes after a version, as many as fit into so many bytes and one at least;
     /// nothing if the history does not reach back so far.
-    pub fn first_changes_after(&self, after: Version, most_bytes: usize) -> Option<FirstChanges> {
+    pub fn first_changes_after(
+        &self,
+        after: Version,
+        form: FeedForm,
+        most_bytes: usize,
+    ) -> Option<FirstChanges> {
         let first = self.changes.front()?;
         if first.version > after.next() {
             return None;
         }
         let skipped = (after.next().0 - first.version.0) as usize;
         let mut bytes = 0;
-        let mut later = self.changes.iter().skip(skipped).peekable();
+        let later = self.changes.iter().skip(skipped);
+        let mut later = later.map(|numbered| numbered.in_form(form)).peekable();
         let mut changes = Vec::new();
         while let Some(numbered) = later.next_if(|numbered| {
             bytes += encoded_length(numbered);
             bytes <= most_bytes || changes.is_empty()
         }) {
-            changes.push(numbered.clone());
+            changes.push(numbered);
         }
         let more = later.next().is_some();
         Some(FirstChanges { changes, more })
@@ -150,8 +155,12 @@
         if after >= map.version {
             return None;
         }
+        let form = match map.is_reduced {
+            true => FeedForm::Reduced,
+            false => FeedForm::Complete,
+        };
         Some(match self.changes_after(after) {
-            Some(changes) => ConsensusMessage::News { map: name, changes },
+            Some(changes) => ConsensusMessage::news(form, name, changes),
             None => ConsensusMessage::Whole {
                 map: name,
                 whole: map.clone(),
@@ -173,21 +182,19 @@
     }
 
     pub fn take(&mut self, news: &ConsensusMessage) -> Option<MapName> {
-        let before = match news {
-            ConsensusMessage::News { map, .. } | ConsensusMessage::Whole { map, .. } => {
-                self.follower.map(*map).version
-            }
-            _ => return None,
+        let Some(changes) = news.follower_news() else {
+            let moved = self.follower.take(news)?;
+            self.histories.entry(moved).or_default().clear();
+            return Some(moved);
         };
+        let before = self.follower.map(changes.map).version;
         let moved = self.follower.take(news)?;
+        let after = self.follower.map(moved).version;
         let history = self.histories.entry(moved).or_default();
-        match news {
-            ConsensusMessage::News { changes, .. } => {
-                for numbered in changes.iter().filter(|numbered| numbered.version > before) {
-                    history.push(numbered.clone());
-                }
-            }
-            _ => history.clear(),
+        let is_new =
+            |numbered: &&NumberedChange| numbered.version > before && numbered.version <= after;
+        for numbered in changes.changes.iter().filter(is_new) {
+            history.push(numbered.clone());
         }
         Some(moved)
     }
--- a/crates/caperworks/src/lib.rs
+++ b/crates/caperworks/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod placement;
 pub mod policy;
 pub mod prelude;
+pub mod reduced_map;
 pub mod replicated_map;
 pub mod slots;
 pub mod version_history;
--- a/crates/caperworks/src/link.rs
+++ b/crates/caperworks/src/link.rs
@@ -47,6 +47,7 @@
 pub struct CoreLink {
     /// The maps that this node follows; the others it need not hold.
     wants: Vec<MapName>,
+    form: FeedForm,
     pub seeds: Vec<SocketAddr>,
     /// Since when controllers have answered with a majority behind them, without a gap.
     assured_since: Option<Duration>,
@@ -79,6 +80,7 @@
         let first = seeds[(draw % seeds.len().max(1) as u64) as usize];
         Self {
             wants: wants.to_vec(),
+            form: FeedForm::Complete,
             seeds,
             assured_since: None,
             controller: first,
@@ -101,6 +103,13 @@
         }
     }
 
+    /// The same, for a node that only reads what it follows, or that may become a voter.
+    pub fn in_form(mut self, form: FeedForm) -> Self {
+        self.form = form;
+        self.catch_up = self.catch_up.in_form(form);
+        self
+    }
+
     pub fn controller(&self) -> SocketAddr {
         self.controller
     }
@@ -209,6 +218,7 @@
             instances_after: self.instances_place,
             members_after: self.members_place,
             wants: self.wants.clone(),
+            form: self.form,
         };
         (self.controller, Message::Renew { renewal })
     }
@@ -334,7 +344,9 @@
     ) -> CatchUpStep {
         match vote {
             ConsensusMessage::Piece { piece } => self.hear_piece(now, from, piece.clone()),
-            ConsensusMessage::News { map, .. } if self.catch_up.is_receiving(*map) => {
+            ConsensusMessage::News { map, .. } | ConsensusMessage::ReducedNews { map, .. }
+                if self.catch_up.is_receiving(*map) =>
+            {
                 let moved = self.feed_cache.take(vote);
                 let held = self.held(*map);
                 let request = self.catch_up.hear_changes(now, *map, held, moved.is_some());
--- a/crates/caperworks/src/link_figures.rs
+++ b/crates/caperworks/src/link_figures.rs
@@ -37,16 +37,16 @@
     }
 
     fn count_news(&mut self, news: &ConsensusMessage, held: &Follower) {
-        match news {
-            ConsensusMessage::News { map, changes } => {
-                let version = held.map(*map).version;
-                let is_held = |numbered: &&NumberedChange| numbered.version <= version;
-                self.changes += changes.len() as u64;
-                self.held_changes += changes.iter().filter(is_held).count() as u64;
-            }
-            ConsensusMessage::Whole { .. } => self.whole_maps += 1,
-            _ => {}
+        if let ConsensusMessage::Whole { .. } = news {
+            self.whole_maps += 1;
         }
+        let Some(news) = news.follower_news() else {
+            return;
+        };
+        let version = held.map(news.map).version;
+        let is_held = |numbered: &&NumberedChange| numbered.version <= version;
+        self.changes += news.changes.len() as u64;
+        self.held_changes += news.changes.iter().filter(is_held).count() as u64;
     }
 }
 
--- a/crates/caperworks/src/messages.rs
+++ b/crates/caperworks/src/messages.rs
@@ -25,6 +25,9 @@
         4 instances_after: u64,
         5 members_after: u64,
         6 wants: Vec<MapName>,
+        /// In which form it wants them.
+        #[cbor(default)]
+        7 form: FeedForm,
     }
 
     struct Granted {
--- a/crates/caperworks/src/policy.rs
+++ b/crates/caperworks/src/policy.rs
@@ -61,6 +61,16 @@
     }
 }
 
+impl CorePolicy {
+    /// In which form agents follow the maps: complete where one of them may become a witness.
+    pub fn agents_feed_form(&self) -> FeedForm {
+        match self.witness_voters {
+            0 => FeedForm::Reduced,
+            _ => FeedForm::Complete,
+        }
+    }
+}
+
 /// What operators want of a proxy where more than one way is sound.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ProxyPolicy {
--- a/crates/caperworks/src/prelude.rs
+++ b/crates/caperworks/src/prelude.rs
@@ -38,6 +38,7 @@
 pub use crate::ownership::*;
 pub use crate::placement::*;
 pub use crate::policy::*;
+pub use crate::reduced_map::*;
 pub use crate::replicated_map::*;
 pub use crate::slots::*;
 pub use crate::version_history::*;
--- a/crates/caperworks/src/replicated_map.rs
+++ b/crates/caperworks/src/replicated_map.rs
@@ -74,6 +74,9 @@
         /// before histories were kept have none.
         #[cbor(default)]
         3 histories: BTreeMap<String, VersionHistory>,
+        /// It lacks what only voters need, and no voter may take it.
+        #[cbor(default)]
+        4 is_reduced: bool,
     }
 
     #[derive(Eq)]
@@ -188,6 +191,7 @@
             items: BTreeMap::new(),
             answered: Vec::new(),
             histories: BTreeMap::new(),
+            is_reduced: false,
         }
     }
 
--- a/crates/caperworks/tests/follower_catch_up_stories.rs
+++ b/crates/caperworks/tests/follower_catch_up_stories.rs
@@ -66,7 +66,9 @@
 
     fn grant(&mut self, now: Duration, renewal: &Renewal) -> Granted {
         let held = renewal.member.versions[MAP.index()];
-        let news = self.sender.news_for_follower(now, &self.voter, MAP, held);
+        let news = self
+            .sender
+            .news_for_follower(now, &self.voter, MAP, held, renewal.form);
         let in_pieces = match news {
             FollowerNews::InPieces => vec![MAP],
             _ => Vec::new(),
@@ -350,8 +352,7 @@
     let controller = &mut world.controllers[0];
     let position = TransferPosition {
         transfer: 1,
-        version: Version(0),
-        offset: 0,
+        ..TransferPosition::default()
     };
     let vote = controller
         .sender
--- a/crates/controller/src/machine.rs
+++ b/crates/controller/src/machine.rs
@@ -533,7 +533,7 @@
     lain: Option<Duration>,
 ) {
     let now = state.now;
-    let member = renewal.member;
+    let member = &renewal.member;
     // Why answered all the same: the grant counts from when the member asked, and only whether it
     // is alive now hangs on the age of its question.
     if let Some(age) = lain {
@@ -554,7 +554,7 @@
         news,
         in_pieces,
         more,
-    } = news_for_follower(state, reply_to, &renewal.wants, &member.versions);
+    } = news_for_follower(state, reply_to, &renewal);
     let round = match state.options.broken {
         Broken::LoneGrants => Some((
             Duration::ZERO,
@@ -637,15 +637,18 @@
 fn news_for_follower(
     state: &mut ControllerState,
     follower: SocketAddr,
-    wants: &[MapName],
-    held: &[Version],
+    renewal: &Renewal,
 ) -> FollowerMaps {
     let now = state.now;
     let mut maps = FollowerMaps::default();
-    for map in wants.iter().copied() {
+    for map in renewal.wants.iter().copied() {
+        let held = &renewal.member.versions;
         let held = held.get(map.index()).copied().unwrap_or_default();
         let voter = &state.voter;
-        match state.snapshots.news_for_follower(now, voter, map, held) {
+        match state
+            .snapshots
+            .news_for_follower(now, voter, map, held, renewal.form)
+        {
             FollowerNews::Nothing => {}
             FollowerNews::InPieces => maps.in_pieces.push(map),
             FollowerNews::FirstPart(part) => {
--- a/crates/controller/tests/fleet_stories/slow_links.rs
+++ b/crates/controller/tests/fleet_stories/slow_links.rs
@@ -32,7 +32,7 @@
         Self {
             address: SocketAddr::from(([127, 0, 0, 3], 6500 + place)),
             role,
-            link: CoreLink::new(node, &wants, seeds, 0),
+            link: CoreLink::new(node, &wants, seeds, 0).in_form(FeedForm::Reduced),
         }
     }
 
--- a/crates/directory/src/machine.rs
+++ b/crates/directory/src/machine.rs
@@ -88,7 +88,8 @@
     pub fn start(options: DirectoryOptions, seed: u64) -> Self {
         let mut chance = Chance::seeded(seed);
         let node = NodeId(chance.draw() >> 1);
-        let mut link = CoreLink::new(node, &FOLLOWED, options.seeds.clone(), chance.draw());
+        let mut link = CoreLink::new(node, &FOLLOWED, options.seeds.clone(), chance.draw())
+            .in_form(FeedForm::Reduced);
         link.members.refresh = options.member_refresh;
         Self {
             options,
--- a/crates/local-fleet/src/hollow.rs
+++ b/crates/local-fleet/src/hollow.rs
@@ -254,6 +254,7 @@
             instances_after: self.instances_place,
             members_after: self.members_place,
             wants: FOLLOWED.to_vec(),
+            form: FeedForm::Complete,
         };
         let to = self.fleet.controllers[self.controller].advertised;
         self.send(to, Message::Renew { renewal });
@@ -314,8 +315,7 @@
             if FOLLOWED.contains(&map) && !is_under_way {
                 let position = TransferPosition {
                     transfer: self.counter,
-                    version: Version(0),
-                    offset: 0,
+                    ..TransferPosition::default()
                 };
                 self.ask_for_piece(now, from, map, position);
             }
@@ -330,6 +330,7 @@
                 transfer: piece.transfer,
                 version: piece.version,
                 offset,
+                ..TransferPosition::default()
             };
             self.ask_for_piece(now, from, piece.map, position);
             return;
--- a/crates/simulator/src/world/bodies.rs
+++ b/crates/simulator/src/world/bodies.rs
@@ -70,6 +70,7 @@
 
     fn agent_of(&self, node: &Node, seed: u64) -> AgentMachine {
         let options = AgentOptions {
+            feed_form: self.day.policy.core().agents_feed_form(),
             proxy_serves_on: self.day.policy.serves_on,
             instance_span: INSTANCE_SPAN,
             lease_span: LEASE_SPAN,
