A part of a slow answer tells a full link from a cut, and a proxy waits for the rest

Class: a failure detector that takes a slow path for a cut. Before the first slow answer is whole there was no sign at all.

Change: the control port tells of bytes of a message that began to come over 0.4 s ago and is not whole (runtime, part_watch.rs); the agent counts its link as slow, stays with its controller and asks nothing more meanwhile. Silence without a byte still counts as a cut after 6 s.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -117,14 +117,17 @@
     };
     let machine = AgentMachine::start(options, fresh_seed());
     let (inbox, receiver) = Inbox::open();
-    let heard = inbox.clone();
-    let port = ControlPort::open(
+    let (heard, heard_part) = (inbox.clone(), inbox.clone());
+    let port = ControlPort::open_for_parts(
         machine.node(),
         place.control,
         place.advertise,
         move |envelope| {
             heard.give(AgentInput::Heard { envelope });
         },
+        move || {
+            heard_part.give(AgentInput::HeardPart);
+        },
     )
     .await?;
     event(
--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -40,6 +40,8 @@
     Heard {
         envelope: Envelope,
     },
+    /// Bytes of a message came that began to come a while ago and is not whole yet.
+    HeardPart,
     /// The platform asks for a stop.
     Stop,
     /// The seeds that the settings name now.
@@ -243,6 +245,7 @@
                 outputs.push(AgentOutput::AnswerUsage { ticket, lines });
             }
             AgentInput::Tick => self.tick(now, &mut outputs),
+            AgentInput::HeardPart => self.link.heard_part(now),
             AgentInput::Heard { envelope } => self.hear(now, envelope, &mut outputs),
             AgentInput::Heartbeat {
                 ticket,
--- a/crates/agent/tests/agent_stories.rs
+++ b/crates/agent/tests/agent_stories.rs
@@ -527,3 +527,36 @@
     let nothing = ConsensusMessage::news(FeedForm::Complete, map, Vec::new());
     assert_eq!(answers, [nothing]);
 }
+
+#[test]
+fn given_parts_of_a_slow_answer_when_the_lease_is_over_then_the_link_counts_as_slow_until_they_end()
+{
+    let mut bench = Bench::new(true);
+    bench.runs(0, 3000, Core::Answers, &["one"]);
+    // An answer begins to come, and its rest trickles in for longer than a lease lives.
+    let mut renewals = 0;
+    for step in (3000..12_000).step_by(200) {
+        bench.machine.input(millis(step), AgentInput::HeardPart);
+        let outputs = bench.machine.input(millis(step), AgentInput::Tick);
+        renewals += outputs.iter().filter(|output| is_renewal(output)).count();
+    }
+    let last_part = millis(11_800);
+    let slow_for = bench.view(millis(12_000)).link_slow_for;
+    assert_eq!(slow_for, last_part + SLOW_LINK_SPAN - millis(12_000));
+    assert!(
+        renewals <= 1,
+        "it asked {renewals} times while an answer came"
+    );
+    // Then nothing comes any more: that is a cut.
+    assert_eq!(bench.view(millis(18_000)).link_slow_for, Duration::ZERO);
+}
+
+fn is_renewal(output: &AgentOutput) -> bool {
+    matches!(
+        output,
+        AgentOutput::Send {
+            message: Message::Renew { .. },
+            ..
+        }
+    )
+}
--- a/crates/caperworks/src/link.rs
+++ b/crates/caperworks/src/link.rs
@@ -40,7 +40,8 @@
 #[derive(Debug, Clone, Copy)]
 struct UnansweredRenewal {
     number: u64,
-    asked_at: Duration,
+    /// Since it was asked, or since a part of an answer came.
+    waits_since: Duration,
 }
 
 #[derive(Debug, Clone)]
@@ -54,7 +55,7 @@
     controller: SocketAddr,
     controller_node: NodeId,
     answered_at: Duration,
-    /// When the last answer of a controller with a majority came, if that answer was slow.
+    /// When the last answer of a controller with a majority came, or a part of one, if it was slow.
     slow_answer_at: Option<Duration>,
     renew_at: Duration,
     /// The question that waits for its answer, and when it was asked.
@@ -132,6 +133,19 @@
         self.reporter.report(now, has_lease)
     }
 
+    /// Bytes came of a message that began to come a while ago and is not whole yet.
+    ///
+    /// Why that counts: until it is whole nothing else tells a slow link from a cut, and another
+    /// controller would be heard over the same link.
+    pub fn heard_part(&mut self, now: Duration) {
+        self.slow_answer_at = Some(now);
+        self.answered_at = now;
+        // Why: the answer is on its way, and another one would only wait behind it.
+        if let Some(unanswered) = &mut self.unanswered {
+            unanswered.waits_since = now;
+        }
+    }
+
     pub fn versions(&self) -> Vec<Version> {
         self.feed_cache.follower().versions()
     }
@@ -195,7 +209,7 @@
         let Some(unanswered) = self.unanswered else {
             return now >= self.renew_at;
         };
-        let is_overdue = now.saturating_sub(unanswered.asked_at) >= answer_patience;
+        let is_overdue = now.saturating_sub(unanswered.waits_since) >= answer_patience;
         if is_overdue {
             self.answer_timer.timed_out();
         }
@@ -209,7 +223,7 @@
         let number = self.lease.renew(now);
         self.unanswered = Some(UnansweredRenewal {
             number,
-            asked_at: now,
+            waits_since: now,
         });
         let renewal = Renewal {
             number,
--- a/crates/runtime/src/connections.rs
+++ b/crates/runtime/src/connections.rs
@@ -23,15 +23,27 @@
         listening: SocketAddr,
         own: SocketAddr,
         hear: impl Fn(Envelope) + Clone + Send + Sync + 'static,
+    ) -> anyhow::Result<Self> {
+        Self::open_for_parts(node, listening, own, hear, || {}).await
+    }
+
+    /// The same, and calls `hear_part` when bytes come of a message that began to come a while ago and is
+    /// not whole yet: its sender is there, and the link is slow.
+    pub async fn open_for_parts(
+        node: NodeId,
+        listening: SocketAddr,
+        own: SocketAddr,
+        hear: impl Fn(Envelope) + Clone + Send + Sync + 'static,
+        hear_part: impl Fn() + Clone + Send + Sync + 'static,
     ) -> anyhow::Result<Self> {
         let listener = listen(listening).await?;
         tokio::spawn(async move {
             loop {
                 match listener.accept().await {
                     Ok((stream, from)) => {
-                        let hear = hear.clone();
+                        let (hear, hear_part) = (hear.clone(), hear_part.clone());
                         tokio::spawn(async move {
-                            if let Err(failure) = read_frames(stream, hear).await {
+                            if let Err(failure) = read_frames(stream, hear, hear_part).await {
                                 event(GARBLED, format!("from {from}: {failure}"));
                             }
                         });
@@ -103,7 +115,11 @@
     Ok(socket.listen(1024)?)
 }
 
-async fn read_frames(stream: TcpStream, hear: impl Fn(Envelope)) -> anyhow::Result<()> {
+async fn read_frames(
+    stream: TcpStream,
+    hear: impl Fn(Envelope),
+    hear_part: impl Fn(),
+) -> anyhow::Result<()> {
     let mut reader = BufReader::new(stream);
     loop {
         let length = match reader.read_u32().await {
@@ -115,7 +131,7 @@
             bail!("a frame of {length} bytes");
         }
         let mut bytes = vec![0; length];
-        if reader.read_exact(&mut bytes).await.is_err() {
+        if !read_whole(&mut reader, &mut bytes, &hear_part).await {
             return Ok(());
         }
         let mut decoder = minicbor::Decoder::new(&bytes);
@@ -127,6 +143,26 @@
     }
 }
 
+/// Reads until all bytes have come; says whether they have.
+async fn read_whole(
+    reader: &mut BufReader<TcpStream>,
+    bytes: &mut [u8],
+    hear_part: &impl Fn(),
+) -> bool {
+    let mut watch = PartWatch::begin(Instant::now());
+    let mut filled = 0;
+    while filled < bytes.len() {
+        match reader.read(&mut bytes[filled..]).await {
+            Ok(0) | Err(_) => return false,
+            Ok(count) => filled += count,
+        }
+        if filled < bytes.len() && watch.bytes_came(Instant::now()) {
+            hear_part();
+        }
+    }
+    true
+}
+
 /// Writes frames to one address until it fails or falls idle; the next message opens anew.
 async fn write_frames(to: SocketAddr, queue: &OutgoingQueue) {
     let opening = tokio::time::timeout(OPEN_PATIENCE, TcpStream::connect(to)).await;
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod http;
 pub mod options;
 pub mod outgoing_queue;
+pub mod part_watch;
 pub mod prelude;
 pub mod scenario;
--- a/crates/runtime/src/prelude.rs
+++ b/crates/runtime/src/prelude.rs
@@ -38,6 +38,7 @@
 pub use crate::http::*;
 pub use crate::options::*;
 pub use crate::outgoing_queue::*;
+pub use crate::part_watch::*;
 pub use crate::scenario::*;
 
 /// Takes a lock whose holder cannot have left things half done.
--- a/crates/simulator/src/day.rs
+++ b/crates/simulator/src/day.rs
@@ -43,6 +43,10 @@
         most: Duration,
         doubled_per_thousand: u64,
     },
+    /// Its link carries so many bytes a second of what controllers send.
+    Narrow {
+        bytes_per_second: u64,
+    },
     Join,
     CloseZone,
     OpenZone,
@@ -147,6 +151,8 @@
     pub clocks_stop_asleep: bool,
     /// Only for proving the observers: whatever comes in counts as sent just now.
     pub undated: bool,
+    /// Only for proving the observers: agents do not notice parts of messages.
+    pub unnoticed_parts: bool,
 }
 
 fn read_act(item: &JsonValue) -> Option<Act> {
@@ -182,6 +188,9 @@
             most: Duration::from_millis(item["late_ms"].as_u64()?),
             doubled_per_thousand: item["doubled_per_thousand"].as_u64()?,
         },
+        "narrow" => Act::Narrow {
+            bytes_per_second: item["bytes_per_second"].as_u64()?,
+        },
         "join" => Act::Join,
         "vanish" => Act::Vanish,
         "jump-clock" => Act::JumpClock(item["by_ms"].as_i64()?),
@@ -238,6 +247,7 @@
             "late_ms",
             "doubled_per_thousand",
             "by_ms",
+            "bytes_per_second",
             "per_second",
             "percent",
             "other",
@@ -361,6 +371,7 @@
             careless_instances: false,
             clocks_stop_asleep: false,
             undated: false,
+            unnoticed_parts: false,
         })
     }
 
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod actors;
 pub mod day;
 pub mod disks;
+pub mod narrow_link;
 pub mod network;
 pub mod observers;
 pub mod prelude;
--- a/crates/simulator/src/network.rs
+++ b/crates/simulator/src/network.rs
@@ -1,4 +1,4 @@
-//! The simulated network: delay, loss and cuts.
+//! The simulated network: delay, loss, cuts and narrow links.
 
 use crate::prelude::*;
 
@@ -29,6 +29,7 @@
     /// Controllers that neither hear nor reach the other voters, but still grant to their followers.
     pub parted: BTreeSet<usize>,
     pub http_faults: Vec<HttpFault>,
+    pub narrow_links: BTreeMap<usize, NarrowLink>,
 }
 
 impl Network {
@@ -52,6 +53,11 @@
             .any(|cut| cut.from.contains(&from) && cut.to.contains(&to))
     }
 
+    /// From now on a place's link carries so much of what controllers send.
+    pub fn narrow(&mut self, place: usize, bytes_per_second: u64) {
+        self.narrow_links.entry(place).or_default().bytes_per_second = bytes_per_second;
+    }
+
     /// The fault on the way between two places, if there is one.
     pub fn http_fault(&self, from: usize, to: usize) -> Option<&HttpFault> {
         self.http_faults
--- a/crates/simulator/src/prelude.rs
+++ b/crates/simulator/src/prelude.rs
@@ -16,6 +16,7 @@
 pub use crate::actors::request::*;
 pub use crate::day::*;
 pub use crate::disks::*;
+pub use crate::narrow_link::*;
 pub use crate::network::*;
 pub use crate::observers::attempts::*;
 pub(crate) use crate::observers::changes::*;
--- a/crates/simulator/src/world/agents.rs
+++ b/crates/simulator/src/world/agents.rs
@@ -16,6 +16,7 @@
             Happening::Control { envelope } => Some(AgentInput::Heard {
                 envelope: *envelope,
             }),
+            Happening::ControlPart if !self.day.unnoticed_parts => Some(AgentInput::HeardPart),
             Happening::HeartbeatTarget {
                 heartbeat,
                 echo,
--- a/crates/simulator/src/world/events.rs
+++ b/crates/simulator/src/world/events.rs
@@ -8,6 +8,8 @@
     Control {
         envelope: Box<Envelope>,
     },
+    /// Bytes came of a control message that began to come a while ago and is not whole yet.
+    ControlPart,
     Synced {
         ticket: u64,
         well: bool,
@@ -82,6 +84,8 @@
         place: usize,
     },
     Observe,
+    /// Narrow links carry on what waits on them.
+    NarrowLinks,
 }
 
 /// A heartbeat that an agent has and whose answer it owes.
--- a/crates/simulator/src/world/faults.rs
+++ b/crates/simulator/src/world/faults.rs
@@ -45,6 +45,15 @@
                 most: *most,
                 doubled_per_thousand: *doubled_per_thousand,
             }),
+            Act::Narrow { bytes_per_second } => {
+                let had_none = self.network.narrow_links.is_empty();
+                for place in places {
+                    self.network.narrow(place, *bytes_per_second);
+                }
+                if had_none {
+                    self.push(self.now, Due::NarrowLinks);
+                }
+            }
             Act::Part => self.network.parted.extend(places),
             Act::Deafen => self.network.deaf.extend(places),
             Act::Join => self.network.join(),
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -89,6 +89,7 @@
                 deaf: BTreeSet::new(),
                 parted: BTreeSet::new(),
                 http_faults: Vec::new(),
+                narrow_links: BTreeMap::new(),
             },
             observers: Observers::default(),
             regions: scenario
--- a/crates/simulator/src/world/schedule.rs
+++ b/crates/simulator/src/world/schedule.rs
@@ -85,6 +85,7 @@
                 }
             }
             Due::Observe => self.observe(),
+            Due::NarrowLinks => self.carry_narrow_links(),
         }
     }
 
--- a/crates/simulator/tests/observers.rs
+++ b/crates/simulator/tests/observers.rs
@@ -299,3 +299,10 @@
         day.broken_controller = Broken::LoneGrants;
     });
 }
+
+#[test]
+fn given_agents_that_notice_no_parts_of_messages_when_links_are_narrow_then_it_is_seen() {
+    is_caught("narrow-links", Line::OldConfiguration, |day| {
+        day.unnoticed_parts = true;
+    });
+}
