--- a/scripts/fault_days/catalogue.py
+++ b/scripts/fault_days/catalogue.py
@@ -13,6 +13,7 @@
     3: "members are replaced and wiped without losing the majority or the only copy",
     4: "hundreds of changes: a member that was away catches up",
     5: "answers reach their callers, and nothing that may not be repeated is sent twice",
+    6: "long days: followers keep up with hundreds of changes, whatever else their links carry",
 }
 
 CHANGE_VARIANTS = ["timeout", "weights", "idle", "route"]
@@ -21,6 +22,12 @@
 LONG_CUT_S = 18.0
 """Longer than any lease and than every bound on an answer."""
 
+LONG_DAY_S = 90.0
+"""Three times as long as the deployments' own days."""
+
+FLOOR_OF_LONG_DAYS = 0.5
+"""Of the quiet day's floor: they have the traffic of high load, and wide faults."""
+
 FLOOR_OF_CONTROL_FAULTS = 1.2
 """Of the quiet day's floor: faults of the control side alone need cost requests little."""
 
@@ -256,6 +263,40 @@
     ]
 
 
+def long_days(_site: Site) -> list[FaultDay]:
+    """Hundreds of changes over a long day of high load, and a burst of those that had to wait."""
+    burst = changes(35.5, 38.0, 0.025)
+    hundreds = changes(2.0, LONG_DAY_S - 2.0, 0.1) + burst
+    power_loss = trouble("node_kill", 30.0, on="core", count=1, for_s=5.0, how="power leader")
+    kills = [trouble("node_kill", at_s, on="core", count=1) for at_s in (46.0, 58.0)]
+    all_killed = trouble("herd_kill", 70.0, on="core", share=1.0)
+    core_kills = [power_loss, *kills, all_killed]
+    zones_lost = [trouble("zone_loss", at_s, for_s=5.0) for at_s in (28.0, 58.0)]
+    proxies_lost = trouble("node_kill", 44.0, share=0.16, for_s=3.0, how="power")
+    core_cuts = [core_cut(at_s, 8.0) for at_s in (20.0, 45.0, 65.0)]
+    bursts = [trouble("burst", at_s, x=1.7, for_s=4.0) for at_s in (33.0, 52.0, 72.0)]
+
+    def day(name: str, faults: list[Trouble], closing: Closing | None = None) -> FaultDay:
+        return FaultDay(
+            name,
+            6,
+            hundreds,
+            faults,
+            closing,
+            FLOOR_OF_LONG_DAYS,
+            LONG_DAY_S,
+            is_busy=True,
+        )
+
+    return [
+        day("long-core-kills", core_kills),
+        day("long-power-off", core_kills, Closing("power_off_all", 1.2)),
+        day("long-zone-losses", [*zones_lost, proxies_lost], Closing("kill_all", 1.0)),
+        day("long-core-cuts", core_cuts, Closing("wipe_after_ack", 1.2)),
+        day("long-bursts", [*bursts, power_loss], Closing("power_off_all", 1.0, "timed")),
+    ]
+
+
 GROUPS: list[Callable[[Site], list[FaultDay]]] = [
     core_cut_days,
     freeze_days,
@@ -264,6 +305,7 @@
     catch_up_days,
     caller_days,
     closing_days,
+    long_days,
 ]
 
 
--- a/scripts/fault_days/day.py
+++ b/scripts/fault_days/day.py
@@ -51,6 +51,10 @@
     closing: Closing | None = None
     floor_share: float = 1.0
     """The lowest worth that passes, as a share of the quiet day's own floor."""
+    length_s: float | None = None
+    """How long the day is, where not as long as the deployment's own days."""
+    is_busy: bool = False
+    """Whether it has the traffic of a day of high load and not of a quiet one."""
 
     def kinds(self) -> set[str]:
         """Every kind of trouble or planned work in the day."""
--- a/scripts/fault_days/day_file.py
+++ b/scripts/fault_days/day_file.py
@@ -42,7 +42,11 @@
         table["closing"] = day.closing.entry()
     table["plan"] = [trouble.entry() for trouble in day.plan]
     table["faults"] = [trouble.entry() for trouble in day.faults]
-    table["traffic"] = quiet["traffic"]
+    if day.length_s:
+        table["length_s"] = day.length_s
+        if "wall" in quiet:
+            table["wall"] = round(quiet["wall"] * day.length_s / site.length_s, 1)
+    table["traffic"] = site.busy_traffic if day.is_busy else quiet["traffic"]
     return table
 
 
--- a/scripts/fault_days/site.py
+++ b/scripts/fault_days/site.py
@@ -9,6 +9,7 @@
 
 CORE_CLASS = "core"
 QUIET_SLOT = "quiet"
+BUSY_SLOT = "scale"
 
 CONTRACT_OF_KIND = {
     "srv_grey": "health",
@@ -34,7 +35,9 @@
     services: list[str]
     contracts: set[str]
     quiet_day: dict[str, Any]
-    """The first quiet day, whose traffic and marks all days of faults take over."""
+    """The first quiet day, whose marks all days of faults take over, and most of them its traffic."""
+    busy_traffic: Any
+    """The traffic of the first day of high load; the quiet day's where there is none."""
 
     def allows(self, kind: str) -> bool:
         """Whether this deployment knows the kind of trouble."""
@@ -69,6 +72,7 @@
         services=[service["name"] for service in table["services"]],
         contracts=set(table["contracts"]),
         quiet_day=first_quiet_day(table["day"]),
+        busy_traffic=busy_traffic(table["day"]),
     )
 
 
@@ -83,3 +87,11 @@
         if day["slot"] == QUIET_SLOT:
             return day
     raise SiteError("the site file has no quiet day to take traffic from")
+
+
+def busy_traffic(days: list[dict[str, Any]]) -> Any:
+    """The traffic of the first standard day of high load; of the quiet day where there is none."""
+    for day in days:
+        if day["slot"] == BUSY_SLOT and "traffic" in day:
+            return day["traffic"]
+    return first_quiet_day(days)["traffic"]
