Directories' answers in a module of their own; facts after a place are told in one way

Instances::after and Members::after are first_after without a bound. Tests of caperworks, directory and controller pass.

--- a/crates/caperworks/src/instances.rs
+++ b/crates/caperworks/src/instances.rs
@@ -241,14 +241,7 @@
 
     /// The facts learned after a place, with their present age.
     pub fn after(&self, now: Duration, place: u64) -> Vec<HeardHeartbeat> {
-        self.known
-            .values()
-            .filter(|kept| kept.learned > place)
-            .map(|kept| HeardHeartbeat {
-                heartbeat: kept.fact.for_followers(),
-                age: now.saturating_sub(kept.heard_at),
-            })
-            .collect()
+        self.first_after(now, place, usize::MAX).heard
     }
 
     /// The first facts learned after a place and at most so many, with their present age.
--- a/crates/caperworks/src/lib.rs
+++ b/crates/caperworks/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod catch_up;
 pub mod configuration;
 pub mod consensus;
+pub mod directory_answers;
 pub mod disk_frame;
 pub mod dispatch;
 pub mod envelope_clock;
--- a/crates/caperworks/src/members.rs
+++ b/crates/caperworks/src/members.rs
@@ -96,14 +96,7 @@
     }
 
     pub fn after(&self, now: Duration, place: u64) -> Vec<HeardMember> {
-        self.known
-            .values()
-            .filter(|kept| kept.learned > place)
-            .map(|kept| HeardMember {
-                member: kept.fact.clone(),
-                age: now.saturating_sub(kept.heard_at),
-            })
-            .collect()
+        self.first_after(now, place, usize::MAX).heard
     }
 
     /// The first facts learned after a place and at most so many, with their present age.
--- a/crates/caperworks/src/prelude.rs
+++ b/crates/caperworks/src/prelude.rs
@@ -17,6 +17,7 @@
 pub use crate::consensus::messages::*;
 pub use crate::consensus::proposer::*;
 pub use crate::consensus::voter::*;
+pub use crate::directory_answers::*;
 pub use crate::disk_frame::*;
 pub use crate::dispatch::*;
 pub use crate::envelope_clock::*;
