A proxy asks its agent one question at a time, too; silence behind parts means nothing

QuestionPace (question_pace.rs) holds what CoreLink did by itself; the proxy and its stand-in in the simulator use it, with a patience of 300 to 600 ms, since the agent takes 1.2 s of silence for an end.

--- a/crates/caperworks/src/answer_timer.rs
+++ b/crates/caperworks/src/answer_timer.rs
@@ -6,22 +6,39 @@
 
 use crate::prelude::*;
 
-/// The least patience; a question over a fast link that is lost is asked again as soon.
-pub const LEAST_ANSWER_PATIENCE: Duration = Duration::from_millis(300);
-/// The most patience, whatever was measured: a lease lives no longer.
-pub const MOST_ANSWER_PATIENCE: Duration = Duration::from_millis(3000);
-/// The most patience while nothing is answered.
-///
-/// Why less: silence may be a cut, and after its end a follower is to ask again soon.
-pub const MOST_SILENT_PATIENCE: Duration = Duration::from_millis(1000);
+/// Between which spans the patience stays, whatever was measured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PatienceBounds {
+    /// A question over a fast link that is lost is asked again as soon.
+    pub least: Duration,
+    pub most: Duration,
+    /// The most while nothing is answered: silence may be a cut, and after its end a follower is to ask
+    /// again soon.
+    pub most_silent: Duration,
+}
+
+/// For questions to the core, whose answers may come from another region and over a full link.
+pub const CORE_PATIENCE: PatienceBounds = PatienceBounds {
+    least: Duration::from_millis(300),
+    most: Duration::from_millis(3000),
+    most_silent: Duration::from_millis(1000),
+};
+
+/// For questions to a process on the same machine, which takes a silence of 1.2 s for an end.
+pub const LOCAL_PATIENCE: PatienceBounds = PatienceBounds {
+    least: Duration::from_millis(300),
+    most: Duration::from_millis(600),
+    most_silent: Duration::from_millis(300),
+};
 
 /// Weighs a new measurement against the smoothed ones before it, as one part in so many.
 const SMOOTHING: u32 = 8;
 const VARIATION_SMOOTHING: u32 = 4;
 
 /// Measures how long answers take.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct AnswerTimer {
+    bounds: PatienceBounds,
     smoothed: Option<Duration>,
     variation: Duration,
     /// How many questions in a row were not answered in time.
@@ -29,6 +46,15 @@
 }
 
 impl AnswerTimer {
+    pub fn new(bounds: PatienceBounds) -> Self {
+        Self {
+            bounds,
+            smoothed: None,
+            variation: Duration::ZERO,
+            unanswered: 0,
+        }
+    }
+
     /// An answer came after so long.
     pub fn answered_after(&mut self, took: Duration) {
         self.unanswered = 0;
@@ -50,9 +76,9 @@
     /// How long to wait for the answer to a question that is asked now.
     pub fn patience(&self) -> Duration {
         let measured = self.smoothed.unwrap_or_default() + self.variation * 4;
-        let measured = measured.clamp(LEAST_ANSWER_PATIENCE, MOST_ANSWER_PATIENCE);
+        let measured = measured.clamp(self.bounds.least, self.bounds.most);
         let doublings = self.unanswered.min(u32::BITS / 2);
-        let backed_off = LEAST_ANSWER_PATIENCE * 2u32.pow(doublings);
-        measured.max(backed_off.min(MOST_SILENT_PATIENCE))
+        let backed_off = self.bounds.least * 2u32.pow(doublings);
+        measured.max(backed_off.min(self.bounds.most_silent))
     }
 }
--- a/crates/caperworks/src/lib.rs
+++ b/crates/caperworks/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod placement;
 pub mod policy;
 pub mod prelude;
+pub mod question_pace;
 pub mod reduced_map;
 pub mod replicated_map;
 pub mod slots;
--- a/crates/caperworks/src/link.rs
+++ b/crates/caperworks/src/link.rs
@@ -36,14 +36,6 @@
     pub why: PieceRefusal,
 }
 
-/// A renewal that waits for its answer.
-#[derive(Debug, Clone, Copy)]
-struct UnansweredRenewal {
-    number: u64,
-    /// Since it was asked, or since a part of an answer came.
-    waits_since: Duration,
-}
-
 #[derive(Debug, Clone)]
 pub struct CoreLink {
     /// The maps that this node follows; the others it need not hold.
@@ -58,9 +50,7 @@
     /// When the last answer of a controller with a majority came, or a part of one, if it was slow.
     slow_answer_at: Option<Duration>,
     renew_at: Duration,
-    /// The question that waits for its answer, and when it was asked.
-    unanswered: Option<UnansweredRenewal>,
-    answer_timer: AnswerTimer,
+    pace: QuestionPace,
     instances_place: u64,
     members_place: u64,
     pub envelope_clock: EnvelopeClock,
@@ -89,8 +79,7 @@
             answered_at: Duration::ZERO,
             slow_answer_at: None,
             renew_at: Duration::ZERO,
-            unanswered: None,
-            answer_timer: AnswerTimer::default(),
+            pace: QuestionPace::new(CORE_PATIENCE),
             instances_place: 0,
             members_place: 0,
             envelope_clock: EnvelopeClock::new(node),
@@ -140,10 +129,9 @@
     pub fn heard_part(&mut self, now: Duration) {
         self.slow_answer_at = Some(now);
         self.answered_at = now;
-        // Why: the answer is on its way, and another one would only wait behind it.
-        if let Some(unanswered) = &mut self.unanswered {
-            unanswered.waits_since = now;
-        }
+        self.pace.part_came(now);
+        // Why: until the rest is here, the silence of instances means nothing.
+        self.assured_since = None;
     }
 
     pub fn versions(&self) -> Vec<Version> {
@@ -172,7 +160,7 @@
         self.reporter.figures.turns += 1;
         self.answered_at = now;
         self.renew_at = now;
-        self.unanswered = None;
+        self.pace.begin_anew();
         // Why here: another one's patience begins anew, and would hide that there was a gap.
         self.assured_since = None;
     }
@@ -197,23 +185,11 @@
     }
 
     /// Whether a renewal is due; a silent controller is left first.
-    ///
-    /// Why not while an answer is awaited: each question over a slow link would bring the same changes
-    /// once more, and fill it for good.
     pub fn due(&mut self, now: Duration) -> bool {
-        let answer_patience = self.answer_timer.patience();
-        if now.saturating_sub(self.answered_at) >= PATIENCE.max(answer_patience) {
-            self.answer_timer.timed_out();
+        if now.saturating_sub(self.answered_at) >= PATIENCE.max(self.pace.patience()) {
             self.turn_to_another(now);
         }
-        let Some(unanswered) = self.unanswered else {
-            return now >= self.renew_at;
-        };
-        let is_overdue = now.saturating_sub(unanswered.waits_since) >= answer_patience;
-        if is_overdue {
-            self.answer_timer.timed_out();
-        }
-        is_overdue
+        now >= self.renew_at && self.pace.may_ask(now)
     }
 
     /// The next renewal, and to whom.
@@ -221,10 +197,7 @@
         self.renew_at = now + RENEW_PERIOD;
         self.reporter.figures.questions += 1;
         let number = self.lease.renew(now);
-        self.unanswered = Some(UnansweredRenewal {
-            number,
-            waits_since: now,
-        });
+        self.pace.asked(now, number);
         let renewal = Renewal {
             number,
             member,
@@ -257,11 +230,7 @@
         let took = took.map(|sent_at| now.saturating_sub(sent_at));
         let follower = self.feed_cache.follower();
         self.reporter.figures.count(granted, took, follower);
-        if let Some(took) = took {
-            self.answer_timer.answered_after(took);
-        }
-        self.unanswered
-            .take_if(|unanswered| unanswered.number == granted.number);
+        self.pace.answered(granted.number, took);
         // Why dated by our question: an answer that lay in a socket while we slept, or took long on
         // its way, must not make anyone look alive; it cannot be older than what it answers.
         if let Some(sent_at) = self.lease.sent_at(granted.number) {
--- a/crates/caperworks/src/prelude.rs
+++ b/crates/caperworks/src/prelude.rs
@@ -39,6 +39,7 @@
 pub use crate::ownership::*;
 pub use crate::placement::*;
 pub use crate::policy::*;
+pub use crate::question_pace::*;
 pub use crate::reduced_map::*;
 pub use crate::replicated_map::*;
 pub use crate::slots::*;
--- /dev/null
+++ b/crates/caperworks/src/question_pace.rs
@@ -0,0 +1,78 @@
+//! When a follower asks again: one question is under way at a time.
+//!
+//! Why: each answer holds all that the follower lacked when it asked. Questions that do not wait for the
+//! answer before bring the same over and over, and keep a slow link full with it.
+
+use crate::prelude::*;
+
+/// A question that waits for its answer.
+#[derive(Debug, Clone, Copy)]
+struct Unanswered {
+    number: u64,
+    /// Since it was asked, or since a part of an answer came.
+    waits_since: Duration,
+}
+
+/// The pace of numbered questions to one peer.
+#[derive(Debug, Clone)]
+pub struct QuestionPace {
+    unanswered: Option<Unanswered>,
+    timer: AnswerTimer,
+}
+
+impl QuestionPace {
+    pub fn new(bounds: PatienceBounds) -> Self {
+        Self {
+            unanswered: None,
+            timer: AnswerTimer::new(bounds),
+        }
+    }
+
+    /// How long an answer may take before its question is asked again.
+    pub fn patience(&self) -> Duration {
+        self.timer.patience()
+    }
+
+    /// Whether no answer is awaited, or has been for longer than it may take.
+    pub fn may_ask(&self, now: Duration) -> bool {
+        let is_overdue = |unanswered: Unanswered| {
+            now.saturating_sub(unanswered.waits_since) >= self.timer.patience()
+        };
+        self.unanswered.is_none_or(is_overdue)
+    }
+
+    /// A question is asked; one that still waits for its answer counts as lost.
+    pub fn asked(&mut self, now: Duration, number: u64) {
+        let waits_since = now;
+        let lost = self.unanswered.replace(Unanswered {
+            number,
+            waits_since,
+        });
+        if lost.is_some() {
+            self.timer.timed_out();
+        }
+    }
+
+    /// An answer came; `took` is for how long its question had waited, if that is still known.
+    pub fn answered(&mut self, number: u64, took: Option<Duration>) {
+        if let Some(took) = took {
+            self.timer.answered_after(took);
+        }
+        self.unanswered
+            .take_if(|unanswered| unanswered.number == number);
+    }
+
+    /// A part of an answer came: the rest is on its way, and another answer would wait behind it.
+    pub fn part_came(&mut self, now: Duration) {
+        if let Some(unanswered) = &mut self.unanswered {
+            unanswered.waits_since = now;
+        }
+    }
+
+    /// The peer is left for another, which has not been asked anything.
+    pub fn begin_anew(&mut self) {
+        if self.unanswered.take().is_some() {
+            self.timer.timed_out();
+        }
+    }
+}
--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -18,12 +18,15 @@
         let mut was_ready = false;
         loop {
             heartbeat.tick().await;
-            number += 1;
             let ready = carrier.is_ready();
             if ready != was_ready {
                 was_ready = ready;
                 event(if ready { READY } else { NOT_READY }, "");
             }
+            if !locked(&asked).may_ask(carrier.clock.now()) {
+                continue;
+            }
+            number += 1;
             let knowledge = carrier.knowledge();
             let pull = Pull {
                 number,
@@ -40,19 +43,52 @@
                 agent: knowledge.agent,
                 instances_place: knowledge.instances_place,
             };
-            {
-                let mut asked = locked(&asked);
-                asked.push_back((number, carrier.clock.now()));
-                if asked.len() > 16 {
-                    asked.pop_front();
-                }
-            }
+            locked(&asked).asked(carrier.clock.now(), number);
             port.send(agent, Message::Pull { pull });
         }
     });
 }
 
-type Asked = Arc<Mutex<VecDeque<(u64, Duration)>>>;
+/// The questions to the agent, and when each was asked.
+struct AskedPulls {
+    pace: QuestionPace,
+    pulls: VecDeque<(u64, Duration)>,
+}
+
+/// Of how many questions it is remembered when they were asked.
+const REMEMBERED_PULLS: usize = 16;
+
+impl AskedPulls {
+    fn new() -> Self {
+        Self {
+            pace: QuestionPace::new(LOCAL_PATIENCE),
+            pulls: VecDeque::new(),
+        }
+    }
+
+    fn may_ask(&self, now: Duration) -> bool {
+        self.pace.may_ask(now)
+    }
+
+    fn asked(&mut self, now: Duration, number: u64) {
+        self.pace.asked(now, number);
+        self.pulls.push_back((number, now));
+        if self.pulls.len() > REMEMBERED_PULLS {
+            self.pulls.pop_front();
+        }
+    }
+
+    /// An answer came; gives when its question was asked, if that is still known.
+    fn answered(&mut self, now: Duration, number: u64) -> Option<Duration> {
+        let asked = self.pulls.iter().find(|(asked, _)| *asked == number);
+        let asked_at = asked.map(|(_, asked_at)| *asked_at);
+        let took = asked_at.map(|asked_at| now.saturating_sub(asked_at));
+        self.pace.answered(number, took);
+        asked_at
+    }
+}
+
+type Asked = Arc<Mutex<AskedPulls>>;
 
 /// Runs a proxy until it is asked to stop.
 pub async fn run(place: Place, reread: Reread, dialect: Dialect) -> anyhow::Result<()> {
@@ -61,7 +97,7 @@
     let agent = place.agent.context("agent")?;
     let clock = Clock::start();
     let carrier = Arc::new(Carrier::new(clock, &place, dialect));
-    let asked: Asked = Arc::default();
+    let asked: Asked = Arc::new(Mutex::new(AskedPulls::new()));
     let (taking, answers) = (carrier.clone(), asked.clone());
     let port = ControlPort::open(
         NodeId(fresh_seed() >> 1),
@@ -69,10 +105,7 @@
         place.control,
         move |envelope| {
             if let Message::View { view } = envelope.message {
-                let asked_at = locked(&answers)
-                    .iter()
-                    .find(|(number, _)| *number == view.number)
-                    .map(|(_, asked_at)| *asked_at);
+                let asked_at = locked(&answers).answered(clock.now(), view.number);
                 if let Some(asked_at) = asked_at {
                     taking.take(asked_at, &view);
                 }
--- a/crates/simulator/src/actors/proxy.rs
+++ b/crates/simulator/src/actors/proxy.rs
@@ -46,6 +46,7 @@
     seed: u64,
     pull_number: u64,
     pulls: VecDeque<(u64, Duration)>,
+    pace: QuestionPace,
     next_pull: Duration,
     measured: HashMap<(String, RouteName), (u32, Duration)>,
     demand: Vec<Demand>,
@@ -80,6 +81,7 @@
             seed,
             pull_number: 0,
             pulls: VecDeque::new(),
+            pace: QuestionPace::new(LOCAL_PATIENCE),
             next_pull: Duration::ZERO,
             measured: HashMap::new(),
             demand: Vec::new(),
@@ -99,7 +101,7 @@
         if lingered && self.carried.is_empty() {
             return vec![ProxyWish::End];
         }
-        if now < self.next_pull {
+        if now < self.next_pull || !self.pace.may_ask(now) {
             return kept_back;
         }
         self.next_pull = now + Duration::from_millis(150);
@@ -120,6 +122,7 @@
                 .sort_by(|one, other| (&one.group, &one.route).cmp(&(&other.group, &other.route)));
         }
         self.pull_number += 1;
+        self.pace.asked(now, self.pull_number);
         self.pulls.push_back((self.pull_number, now));
         if self.pulls.len() > 16 {
             self.pulls.pop_front();
@@ -144,12 +147,14 @@
             .collect()
     }
 
-    pub fn take_view(&mut self, view: &ProxyView) {
+    pub fn take_view(&mut self, now: Duration, view: &ProxyView) {
         let Some((_, asked_at)) = self.pulls.iter().find(|(number, _)| *number == view.number)
         else {
             return;
         };
         let asked_at = *asked_at;
+        let took = now.saturating_sub(asked_at);
+        self.pace.answered(view.number, Some(took));
         if self.broken == BrokenProxy::GoesBack && view.number.is_multiple_of(40) {
             self.knowledge.maps = Arc::default();
         }
--- a/crates/simulator/src/world/proxies.rs
+++ b/crates/simulator/src/world/proxies.rs
@@ -15,7 +15,7 @@
             Happening::Tick => proxy.tick(local),
             Happening::Control { envelope } => {
                 if let Message::View { view } = &envelope.message {
-                    proxy.take_view(view);
+                    proxy.take_view(local, view);
                     let version = proxy.knowledge.maps.map(MapName::Configuration).version;
                     self.observers.proxy_holds(self.now, place, version);
                 }
