--- a/crates/local-fleet/src/hollow.rs
+++ b/crates/local-fleet/src/hollow.rs
@@ -105,6 +105,7 @@
     /// When a piece of a map was last asked for, while one is under way.
     asked_for_piece_at: BTreeMap<MapName, Duration>,
     renew_at: Duration,
+    pace: QuestionPace,
     instances_place: u64,
     members_place: u64,
     versions: Vec<Version>,
@@ -142,6 +143,7 @@
         answered_at: Duration::ZERO,
         asked_for_piece_at: BTreeMap::new(),
         renew_at: Duration::ZERO,
+        pace: QuestionPace::new(CORE_PATIENCE),
         instances_place: 0,
         members_place: 0,
         versions: Vec::new(),
@@ -183,6 +185,7 @@
         self.versions = vec![Version(0); ALL_MAPS.len()];
         self.answered_at = now;
         self.renew_at = now;
+        self.pace = QuestionPace::new(CORE_PATIENCE);
     }
 
     /// What a hollow agent says of itself and of the proxy that it stands for.
@@ -241,12 +244,18 @@
             self.renew_at = now + RENEW_PERIOD;
             return;
         }
-        if now.saturating_sub(self.answered_at) >= CONTROLLER_PATIENCE {
+        if now.saturating_sub(self.answered_at) >= CONTROLLER_PATIENCE.max(self.pace.patience()) {
             self.controller = (self.controller + 1) % self.fleet.controllers.len();
             self.answered_at = now;
+            self.pace.begin_anew();
+        }
+        if !self.pace.may_ask(now) {
+            self.renew_at = now + BEHIND_PERIOD;
+            return;
         }
         self.renew_at = now + RENEW_PERIOD;
         let member = self.member();
+        self.pace.asked(now, self.counter);
         let renewal = Renewal {
             number: self.counter,
             member,
@@ -351,6 +360,7 @@
     }
 
     fn granted(&mut self, now: Duration, from: NodeId, granted: &Granted) {
+        self.pace.answered(granted.number, None);
         self.controller_node = from;
         self.instances_place = granted.instances_place;
         self.members_place = granted.members_place;
@@ -376,6 +386,9 @@
         } else if granted.assured {
             self.renew_at = self.renew_at.min(now + BEHIND_PERIOD);
         }
+        if granted.more {
+            self.renew_at = now;
+        }
     }
 
     /// Moves a version on as the map itself would move.
