A controller's restart begins a life of its own: stamps, places of facts, what peers were told

A controller that restarted within 1.5 s was not told again what the others had told its life before. An instance that had said it ended was listed anew by a late heartbeat. Now a peer in another life is told everything. 2. Its stamps began anew under the same number, and followers gave back one of the life before, which counted as just sent, however old the message was. Stamps are of a life now. 3. Followers named their place in its former numbering of facts, which need not hold all that was learned since. Places hold within a life.

--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -326,10 +326,10 @@
 
     fn hear(&mut self, now: Duration, envelope: Envelope, outputs: &mut Vec<AgentOutput>) {
         let lain = self.link.envelope_clock.open(now, &envelope);
-        let from = envelope.reply_to;
+        let (from, life) = (envelope.reply_to, envelope.sender_life());
         match envelope.message {
             Message::Grant { granted } => {
-                self.hear_grant(now, envelope.from, from, &granted, outputs);
+                self.hear_grant(now, life, from, &granted, outputs);
             }
             Message::IslandAsk { ask } => self.hear_island_ask(now, from, &ask, lain, outputs),
             Message::IslandTell { tell } => self.hear_island_tell(now, from, &tell, outputs),
@@ -350,12 +350,12 @@
     fn hear_grant(
         &mut self,
         now: Duration,
-        controller: NodeId,
+        life: NodeId,
         from: SocketAddr,
         granted: &Granted,
         outputs: &mut Vec<AgentOutput>,
     ) {
-        let moved = self.link.granted(now, controller, granted);
+        let moved = self.link.granted(now, life, granted);
         let requests = self.link.fetch_in_pieces(now, from, granted);
         self.ask_for_pieces(requests, outputs);
         if moved.iter().any(|map| ISLAND_MAPS.contains(map)) {
--- a/crates/caperworks/src/link.rs
+++ b/crates/caperworks/src/link.rs
@@ -45,7 +45,8 @@
     /// Since when controllers have answered with a majority behind them, without a gap.
     assured_since: Option<Duration>,
     controller: SocketAddr,
-    controller_node: NodeId,
+    /// The life of the controller that answered last; its numbering of facts holds in it alone.
+    controller_life: NodeId,
     answered_at: Duration,
     /// When the last answer of a controller with a majority came, or a part of one, if it was slow.
     slow_answer_at: Option<Duration>,
@@ -75,7 +76,7 @@
             seeds,
             assured_since: None,
             controller: first,
-            controller_node: NodeId(0),
+            controller_life: NodeId(0),
             answered_at: Duration::ZERO,
             slow_answer_at: None,
             renew_at: Duration::ZERO,
@@ -201,7 +202,7 @@
         let renewal = Renewal {
             number,
             member,
-            controller: self.controller_node,
+            controller: self.controller_life,
             instances_after: self.instances_place,
             members_after: self.members_place,
             wants: self.wants.clone(),
@@ -224,8 +225,8 @@
         told.max().unwrap_or(0).max(1)
     }
 
-    /// Takes a controller's answer; says which maps moved on.
-    pub fn granted(&mut self, now: Duration, from: NodeId, granted: &Granted) -> Vec<MapName> {
+    /// Takes a controller's answer, given in one life of it; says which maps moved on.
+    pub fn granted(&mut self, now: Duration, life: NodeId, granted: &Granted) -> Vec<MapName> {
         let took = self.lease.sent_at(granted.number);
         let took = took.map(|sent_at| now.saturating_sub(sent_at));
         let follower = self.feed_cache.follower();
@@ -235,7 +236,7 @@
         // its way, must not make anyone look alive; it cannot be older than what it answers.
         if let Some(sent_at) = self.lease.sent_at(granted.number) {
             let lain = now.saturating_sub(sent_at);
-            self.controller_node = from;
+            self.controller_life = life;
             self.proxies.push_back((now, granted.proxies));
             while self.proxies.len() > 1 && now.saturating_sub(self.proxies[0].0) >= PROXIES_SPAN {
                 self.proxies.pop_front();
--- a/crates/controller/src/controller_state.rs
+++ b/crates/controller/src/controller_state.rs
@@ -144,6 +144,8 @@
     pub now: Duration,
     pub node: NodeId,
     pub chance: Chance,
+    /// Drawn anew at each start, unlike the node's number.
+    pub life: NodeId,
     pub envelope_clock: EnvelopeClock,
 
     pub voter: Voter,
--- a/crates/controller/src/fact_exchange.rs
+++ b/crates/controller/src/fact_exchange.rs
@@ -11,30 +11,38 @@
     members: u64,
 }
 
+/// When a peer was last heard, and in which life.
+#[derive(Debug, Clone, Copy)]
+struct HeardPeer {
+    at: Duration,
+    life: NodeId,
+}
+
 /// The other controllers as far as sharing goes: when each was heard, and what it was told.
 #[derive(Debug, Clone, Default)]
 pub struct FactExchange {
     share_at: Duration,
-    heard_at: BTreeMap<SocketAddr, Duration>,
+    heard: BTreeMap<SocketAddr, HeardPeer>,
     told: BTreeMap<SocketAddr, SharedPlace>,
 }
 
 impl FactExchange {
-    /// Notes that a peer was heard. After a silence it is told everything anew: what was sent to it
-    /// meanwhile may be lost.
-    pub fn hear(&mut self, now: Duration, peer: SocketAddr) {
-        let before = self.heard_at.insert(peer, now);
-        let was_silent = before.is_none_or(|before| now.saturating_sub(before) >= SILENCE);
-        if was_silent {
+    /// Notes that a peer was heard. After a silence, and in another life, it is told everything anew: what was
+    /// sent to it meanwhile may be lost, and what it was told before is forgotten.
+    pub fn hear(&mut self, now: Duration, peer: SocketAddr, life: NodeId) {
+        let before = self.heard.insert(peer, HeardPeer { at: now, life });
+        let knows_what_it_was_told = before
+            .is_some_and(|before| before.life == life && now.saturating_sub(before.at) < SILENCE);
+        if !knows_what_it_was_told {
             self.told.remove(&peer);
         }
     }
 
     /// Whether a peer can be told anything at all.
     fn is_heard(&self, now: Duration, peer: &SocketAddr) -> bool {
-        self.heard_at
+        self.heard
             .get(peer)
-            .is_some_and(|heard_at| now.saturating_sub(*heard_at) < SILENCE)
+            .is_some_and(|heard| now.saturating_sub(heard.at) < SILENCE)
     }
 }
 
--- a/crates/controller/src/instance_calls.rs
+++ b/crates/controller/src/instance_calls.rs
@@ -47,7 +47,7 @@
         return;
     }
     let lain = match state.options.core.stamped_heartbeats {
-        true => echo.and_then(|echo| echo.lain(state.now, state.node)),
+        true => echo.and_then(|echo| echo.lain(state.now, state.life)),
         // Why as if it had just left: nothing dates it, and its counter keeps it in its place.
         false => Some(Duration::ZERO),
     };
--- a/crates/controller/src/machine.rs
+++ b/crates/controller/src/machine.rs
@@ -244,7 +244,8 @@
                 now: Duration::ZERO,
                 node,
                 chance,
-                envelope_clock: EnvelopeClock::new(node),
+                life,
+                envelope_clock: EnvelopeClock::of_life(node, life),
                 voter,
                 proposers,
                 askers: Slab::new(),
@@ -454,6 +455,7 @@
 
 fn hear(state: &mut ControllerState, envelope: Envelope) {
     let lain = state.envelope_clock.open(state.now, &envelope);
+    let life = envelope.sender_life();
     let Envelope {
         from,
         reply_to,
@@ -464,7 +466,7 @@
         message,
         Message::RoundAsk { .. } | Message::RoundAnswer { .. }
     ) {
-        state.fact_exchange.hear(state.now, reply_to);
+        state.fact_exchange.hear(state.now, reply_to, life);
     }
     match message {
         Message::ConsensusMessage { vote } => consensus::hear_vote(state, from, reply_to, vote),
@@ -544,8 +546,9 @@
         state.members.hear(now, &heard);
         state.renewed.insert(member.node, now.saturating_sub(age));
     }
-    // Why the place only counts under our own name: another controller numbers its facts otherwise.
-    let (instances_after, members_after) = if renewal.controller == state.node {
+    // Why the place only counts in our own life: another controller numbers its facts otherwise, and so did
+    // we before a restart.
+    let (instances_after, members_after) = if renewal.controller == state.life {
         (renewal.instances_after, renewal.members_after)
     } else {
         (0, 0)
--- a/crates/controller/tests/fleet_stories/fleet.rs
+++ b/crates/controller/tests/fleet_stories/fleet.rs
@@ -242,6 +242,13 @@
         ticket
     }
 
+    /// An instance tells a controller that its life is over.
+    pub fn ends(&mut self, place: usize, id: &InstanceId) {
+        self.tickets += 1;
+        let (ticket, id) = (self.tickets, id.clone());
+        self.inputs(place, ControllerInput::Gone { ticket, id });
+    }
+
     pub fn heartbeat_answer(&self, ticket: u64) -> Option<&HeartbeatAnswer> {
         match self.answers.get(&ticket)? {
             OperatorAnswer::Heartbeat { answer } => Some(&answer.answer),
--- /dev/null
+++ b/crates/controller/tests/fleet_stories/follower.rs
@@ -0,0 +1,92 @@
+//! A process that follows the core, as whole controllers in memory see it.
+
+use crate::prelude::*;
+
+/// A process beside a proxy that follows the core.
+pub struct FollowerProcess {
+    pub address: SocketAddr,
+    pub role: Role,
+    pub link: CoreLink,
+}
+
+impl FollowerProcess {
+    pub fn new(place: u16, role: Role, second_map: MapName) -> Self {
+        let wants = [MapName::Configuration, second_map, MapName::Membership];
+        let seeds = (0..3).map(address).collect();
+        let node = NodeId(9000 + u64::from(place));
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 3], 6500 + place)),
+            role,
+            link: CoreLink::new(node, &wants, seeds, 0).in_form(FeedForm::Reduced),
+        }
+    }
+
+    pub fn member(&self, now: Duration) -> Member {
+        Member {
+            node: NodeId(u64::from(self.address.port())),
+            counter: now.as_millis() as u64,
+            role: self.role,
+            zone: Zone::new("zone-0"),
+            control: self.address,
+            serving: self.address,
+            ready: true,
+            capacity: 1,
+            demand: Vec::new(),
+            versions: self.link.versions(),
+            leaving: false,
+            stands: Vec::new(),
+            same_demand: false,
+            silent: false,
+        }
+    }
+
+    /// What it sends on a tick.
+    pub fn ticks(&mut self, now: Duration) -> Vec<(SocketAddr, Envelope)> {
+        let requests = self.link.tick_catch_up(now);
+        let mut sent: Vec<(SocketAddr, Message)> = requests.iter().map(asked).collect();
+        if self.link.due(now) {
+            let member = self.member(now);
+            sent.push(self.link.renew(now, member));
+        }
+        self.sealed(now, sent)
+    }
+
+    /// What it sends on hearing a controller.
+    pub fn hears(&mut self, now: Duration, envelope: &Envelope) -> Vec<(SocketAddr, Envelope)> {
+        self.link.envelope_clock.open(now, envelope);
+        let from = envelope.reply_to;
+        let requests = match &envelope.message {
+            Message::Grant { granted } => {
+                self.link.granted(now, envelope.sender_life(), granted);
+                self.link.fetch_in_pieces(now, from, granted)
+            }
+            Message::ConsensusMessage { vote } => {
+                let step = self.link.hear_catch_up(now, from, vote);
+                step.request.into_iter().collect()
+            }
+            _ => Vec::new(),
+        };
+        let sent = requests.iter().map(asked).collect();
+        self.sealed(now, sent)
+    }
+
+    fn sealed(
+        &self,
+        now: Duration,
+        sent: Vec<(SocketAddr, Message)>,
+    ) -> Vec<(SocketAddr, Envelope)> {
+        let clock = &self.link.envelope_clock;
+        let seal = |(to, message)| (to, clock.seal(now, self.address, to, message));
+        sent.into_iter().map(seal).collect()
+    }
+
+    pub fn version(&self) -> u64 {
+        self.link.versions()[MapName::Configuration.index()].0
+    }
+}
+
+/// The message that asks for a piece of a map, and whom.
+fn asked(request: &CatchUpRequest) -> (SocketAddr, Message) {
+    let vote = request.message();
+    (request.to, Message::ConsensusMessage { vote })
+}
--- a/crates/controller/tests/fleet_stories/main.rs
+++ b/crates/controller/tests/fleet_stories/main.rs
@@ -1,7 +1,9 @@
 //! Stories of whole controllers in memory: disks that are lost, founding, heartbeats and instances' ends.
 
 mod fleet;
+mod follower;
 mod prelude;
+mod restarts;
 mod slow_links;
 #[path = "../support/mod.rs"]
 mod support;
--- a/crates/controller/tests/fleet_stories/slow_links.rs
+++ b/crates/controller/tests/fleet_stories/slow_links.rs
@@ -17,103 +17,14 @@
 const CHANGE_PERIOD: Duration = Duration::from_millis(100);
 const ZONES: u64 = 4;
 
-/// A process beside a proxy that follows the core.
-struct Follower {
-    address: SocketAddr,
-    role: Role,
-    link: CoreLink,
-}
-
-impl Follower {
-    fn new(place: u16, role: Role, second_map: MapName) -> Self {
-        let wants = [MapName::Configuration, second_map, MapName::Membership];
-        let seeds = (0..3).map(address).collect();
-        let node = NodeId(9000 + u64::from(place));
-        Self {
-            address: SocketAddr::from(([127, 0, 0, 3], 6500 + place)),
-            role,
-            link: CoreLink::new(node, &wants, seeds, 0).in_form(FeedForm::Reduced),
-        }
-    }
-
-    fn member(&self, now: Duration) -> Member {
-        Member {
-            node: NodeId(u64::from(self.address.port())),
-            counter: now.as_millis() as u64,
-            role: self.role,
-            zone: Zone::new("zone-0"),
-            control: self.address,
-            serving: self.address,
-            ready: true,
-            capacity: 1,
-            demand: Vec::new(),
-            versions: self.link.versions(),
-            leaving: false,
-            stands: Vec::new(),
-            same_demand: false,
-            silent: false,
-        }
-    }
-
-    /// What it sends on a tick.
-    fn ticks(&mut self, now: Duration) -> Vec<(SocketAddr, Envelope)> {
-        let requests = self.link.tick_catch_up(now);
-        let mut sent: Vec<(SocketAddr, Message)> = requests.iter().map(asked).collect();
-        if self.link.due(now) {
-            let member = self.member(now);
-            sent.push(self.link.renew(now, member));
-        }
-        self.sealed(now, sent)
-    }
-
-    /// What it sends on hearing a controller.
-    fn hears(&mut self, now: Duration, envelope: &Envelope) -> Vec<(SocketAddr, Envelope)> {
-        self.link.envelope_clock.open(now, envelope);
-        let from = envelope.reply_to;
-        let requests = match &envelope.message {
-            Message::Grant { granted } => {
-                self.link.granted(now, envelope.from, granted);
-                self.link.fetch_in_pieces(now, from, granted)
-            }
-            Message::ConsensusMessage { vote } => {
-                let step = self.link.hear_catch_up(now, from, vote);
-                step.request.into_iter().collect()
-            }
-            _ => Vec::new(),
-        };
-        let sent = requests.iter().map(asked).collect();
-        self.sealed(now, sent)
-    }
-
-    fn sealed(
-        &self,
-        now: Duration,
-        sent: Vec<(SocketAddr, Message)>,
-    ) -> Vec<(SocketAddr, Envelope)> {
-        let clock = &self.link.envelope_clock;
-        let seal = |(to, message)| (to, clock.seal(now, self.address, to, message));
-        sent.into_iter().map(seal).collect()
-    }
-
-    fn version(&self) -> u64 {
-        self.link.versions()[MapName::Configuration.index()].0
-    }
-}
-
 /// The agent and the directory of one machine, which hold nothing yet.
-fn followers() -> [Follower; 2] {
+fn followers() -> [FollowerProcess; 2] {
     [
-        Follower::new(0, Role::Proxy, MapName::Ownership),
-        Follower::new(1, Role::Directory, MapName::Placement),
+        FollowerProcess::new(0, Role::Proxy, MapName::Ownership),
+        FollowerProcess::new(1, Role::Directory, MapName::Placement),
     ]
 }
 
-/// The message that asks for a piece of a map, and whom.
-fn asked(request: &CatchUpRequest) -> (SocketAddr, Message) {
-    let vote = request.message();
-    (request.to, Message::ConsensusMessage { vote })
-}
-
 /// A message on its way, and how much of it is still to be carried.
 struct Carried {
     envelope: Envelope,
@@ -169,7 +80,7 @@
 /// Controllers, and the two processes of one machine that follow them.
 struct World {
     fleet: Fleet,
-    followers: [Follower; 2],
+    followers: [FollowerProcess; 2],
     link: SlowLink,
     rate: f64,
     change_period: Duration,
@@ -280,7 +191,7 @@
 
     /// How many changes the follower that is furthest behind lacks.
     fn behind(&self) -> u64 {
-        let held = self.followers.iter().map(Follower::version);
+        let held = self.followers.iter().map(FollowerProcess::version);
         self.newest() - held.min().expect("there are some")
     }
 
@@ -302,7 +213,7 @@
 
     fn all_fresh(&self) -> bool {
         let now = self.fleet.now;
-        let is_fresh = |follower: &Follower| now < follower.link.fresh_until();
+        let is_fresh = |follower: &FollowerProcess| now < follower.link.fresh_until();
         self.followers.iter().all(is_fresh)
     }
 }
--- a/crates/directory/src/machine.rs
+++ b/crates/directory/src/machine.rs
@@ -177,10 +177,10 @@
 
     fn hear(&mut self, now: Duration, envelope: Envelope, outputs: &mut Vec<DirectoryOutput>) {
         self.link.envelope_clock.open(now, &envelope);
-        let from = envelope.reply_to;
+        let (from, life) = (envelope.reply_to, envelope.sender_life());
         match envelope.message {
             Message::Grant { granted } => {
-                let moved = self.link.granted(now, envelope.from, &granted);
+                let moved = self.link.granted(now, life, &granted);
                 self.maps_moved(moved, outputs);
                 let requests = self.link.fetch_in_pieces(now, from, &granted);
                 ask_for_pieces(requests, outputs);
--- a/crates/local-fleet/src/hollow.rs
+++ b/crates/local-fleet/src/hollow.rs
@@ -100,7 +100,7 @@
     envelope_clock: EnvelopeClock,
     counter: u64,
     controller: usize,
-    controller_node: NodeId,
+    controller_life: NodeId,
     answered_at: Duration,
     /// When a piece of a map was last asked for, while one is under way.
     asked_for_piece_at: BTreeMap<MapName, Duration>,
@@ -139,7 +139,7 @@
         envelope_clock: EnvelopeClock::new(NodeId(0)),
         counter: 0,
         controller: number as usize % fleet.controllers.len(),
-        controller_node: NodeId(0),
+        controller_life: NodeId(0),
         answered_at: Duration::ZERO,
         asked_for_piece_at: BTreeMap::new(),
         renew_at: Duration::ZERO,
@@ -179,7 +179,7 @@
         self.node = NodeId(fresh_seed() >> 1);
         self.envelope_clock = EnvelopeClock::new(self.node);
         self.counter = 0;
-        self.controller_node = NodeId(0);
+        self.controller_life = NodeId(0);
         self.instances_place = 0;
         self.members_place = 0;
         self.versions = vec![Version(0); ALL_MAPS.len()];
@@ -259,7 +259,7 @@
         let renewal = Renewal {
             number: self.counter,
             member,
-            controller: self.controller_node,
+            controller: self.controller_life,
             instances_after: self.instances_place,
             members_after: self.members_place,
             wants: FOLLOWED.to_vec(),
@@ -275,10 +275,11 @@
             return;
         }
         self.envelope_clock.open(now, &envelope);
+        let life = envelope.sender_life();
         match envelope.message {
             // Why by number: an answer to a life before this one says nothing to this one.
             Message::Grant { granted } if granted.number <= self.counter => {
-                self.granted(now, envelope.from, &granted);
+                self.granted(now, life, &granted);
                 self.fetch_in_pieces(now, envelope.reply_to, &granted);
             }
             Message::ConsensusMessage {
@@ -359,9 +360,9 @@
         }
     }
 
-    fn granted(&mut self, now: Duration, from: NodeId, granted: &Granted) {
+    fn granted(&mut self, now: Duration, life: NodeId, granted: &Granted) {
         self.pace.answered(granted.number, None);
-        self.controller_node = from;
+        self.controller_life = life;
         self.instances_place = granted.instances_place;
         self.members_place = granted.members_place;
         let before = self.versions.clone();
--- a/crates/runtime/src/http.rs
+++ b/crates/runtime/src/http.rs
@@ -513,12 +513,12 @@
 
     fn write_stamp(stamp: &Stamp) -> JsonValue {
         // Why as text: a node's number has more digits than JSON's numbers keep.
-        jzon::object! { node: stamp.node.to_string(), at_us: stamp.at.as_micros() as u64 }
+        jzon::object! { node: stamp.life.to_string(), at_us: stamp.at.as_micros() as u64 }
     }
 
     fn read_stamp(value: &JsonValue) -> Option<Stamp> {
         Some(Stamp {
-            node: NodeId(value["node"].as_str()?.parse().ok()?),
+            life: NodeId(value["node"].as_str()?.parse().ok()?),
             at: Duration::from_micros(value["at_us"].as_u64()?),
         })
     }
@@ -612,7 +612,7 @@
             cold_left: Duration::ZERO,
         };
         let stamp = Stamp {
-            node: NodeId(u64::MAX >> 1),
+            life: NodeId(u64::MAX >> 1),
             at: Duration::from_micros(8_123_456),
         };
         let held = Duration::from_micros(498_000);
--- a/crates/simulator/src/world/schedule.rs
+++ b/crates/simulator/src/world/schedule.rs
@@ -187,14 +187,14 @@
     /// Takes a happening for one that was sent just now; only for proving the observers.
     fn undate(&self, place: usize, happening: &mut Happening) {
         let at = self.local(place);
-        let fresh = |node: NodeId| {
-            let stamp = Stamp { node, at };
+        let fresh = |life: NodeId| {
+            let stamp = Stamp { life, at };
             let held = Duration::ZERO;
             Some(Echo { stamp, held })
         };
         match (happening, &self.nodes[place].body) {
             (Happening::Control { envelope }, Some(Body::Controller(machine))) => {
-                envelope.echo = fresh(machine.node());
+                envelope.echo = fresh(machine.state.life);
             }
             (Happening::HeartbeatTarget { echo, .. }, Some(Body::Agent(machine))) => {
                 *echo = fresh(machine.node());
