--- a/crates/caperworks/src/answer_timer.rs
+++ b/crates/caperworks/src/answer_timer.rs
@@ -18,10 +18,13 @@
 }
 
 /// For questions to the core, whose answers may come from another region and over a full link.
+///
+/// Why no longer: a controller that stays silent for the most patience is left for another, and a lease is
+/// to outlive that twice.
 pub const CORE_PATIENCE: PatienceBounds = PatienceBounds {
     least: Duration::from_millis(300),
-    most: Duration::from_millis(3000),
-    most_silent: Duration::from_millis(1000),
+    most: Duration::from_millis(800),
+    most_silent: Duration::from_millis(800),
 };
 
 /// For questions to a process on the same machine, which takes a silence of 1.2 s for an end.
