A controller behind what its grants name is left, whatever other maps it moves on

Cause by reading: since a part of the news counts as progress, a follower stayed with a controller that lacks the newest configuration as long as any other map moved on, its lease ran out, and its proxy served on. Class: a sign of life taken for a sign of use. Only a grant that says that more is to come counts as progress now. The story fails on the code before.

--- a/crates/caperworks/src/link.rs
+++ b/crates/caperworks/src/link.rs
@@ -267,9 +267,10 @@
                 .granted(granted.number, granted.round_age, granted.versions.clone());
             let follower = self.feed_cache.follower();
             let holds = self.lease.careless || follower.holds(&granted.versions, &self.wants);
-            // Why only then: a controller that grants but brings nothing of the news that its grant
-            // names is of no use, and is left like a silent one.
-            if holds || !moved.is_empty() {
+            // Why only then: a controller that grants but cannot bring the news that its grant names is of
+            // no use, and is left like a silent one, whatever other maps it moves on.
+            let brings_the_rest = granted.more && !moved.is_empty();
+            if holds || brings_the_rest {
                 self.answered_at = now;
             }
             if holds {
--- a/crates/caperworks/tests/follower_catch_up_stories.rs
+++ b/crates/caperworks/tests/follower_catch_up_stories.rs
@@ -362,3 +362,41 @@
     assert_eq!(why, Some(PieceRefusal::NotAskedFor));
     assert_eq!(world.held().version, before);
 }
+
+#[test]
+fn given_a_controller_that_lacks_what_its_grants_name_when_other_maps_move_on_then_it_is_left() {
+    let wants = [MAP, MapName::Ownership];
+    let seeds = vec![address(0), address(1)];
+    let mut link = CoreLink::new(NodeId(9), &wants, seeds, 0);
+    let first = link.controller();
+    let mut now = Duration::ZERO;
+    let mut ownership = 0;
+    while link.controller() == first {
+        now += STEP;
+        assert!(
+            now < millis(1500),
+            "it stays with a controller that is behind"
+        );
+        if !link.due(now) || link.controller() != first {
+            continue;
+        }
+        let world = World::new(vec![Controller::with_routes(FEW)], STEP);
+        let (_, message) = link.renew(now, world.member());
+        let Message::Renew { renewal } = message else {
+            panic!("{message:?}");
+        };
+        let mut controller = Controller::with_routes(FEW);
+        let mut granted = controller.grant(now, &renewal);
+        ownership += 1;
+        granted.versions = vec![Version(7), Version(0), Version(ownership), Version(0)];
+        granted.news = vec![ConsensusMessage::News {
+            map: MapName::Ownership,
+            changes: vec![NumberedChange {
+                version: Version(ownership),
+                change: routes(0..1),
+            }],
+        }];
+        granted.in_pieces.clear();
+        link.granted(now, NodeId(0), &granted);
+    }
+}
