--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -41,7 +41,10 @@
         if to is None:
             await self.resolve()
             if not self.addresses:
-                return None
+                self.record.write(f"client in {self.zone} has no address to send {method} {path} to")
+                now = time.monotonic()
+                self.answers.append((None, now, now, None, "no directory named an address"))
+                return self.answers[-1]
             to = random.choice(self.addresses)
         attempt = f"{random.getrandbits(64):016x}"
         headers = {"Host": self.host, "Attempt-Id": attempt, "Deadline-Remaining": deadline_ms}
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -54,11 +54,12 @@
 
 
 class Machine:
-    """A machine: its address, zone and class, and the processes that run on it, by role."""
+    """A machine: its address, zone and class, the number of its disk, and its processes by role."""
 
     def __init__(self, name, kind, zone, ip):
         self.name, self.kind, self.zone, self.ip = name, kind, zone, ip
         self.processes = {}
+        self.disk = 1
 
 
 class Deployment:
@@ -129,10 +130,11 @@
         return "\n".join(lines) + "\n"
 
     def _data(self, machine):
-        return os.path.join(self.folder, "data-" + machine.name)
+        return os.path.join(self.folder, f"data-{machine.name}-{machine.disk}")
 
-    def start(self, machine):
-        """Starts all roles of a machine."""
+    def start(self, machine, lost_disk=False):
+        """Starts all roles of a machine, with an empty data directory if it has lost its disk."""
+        machine.disk += lost_disk
         for role, deployed in self.roles.items():
             if deployed["on"] != machine.kind:
                 continue
