Log why a controller is not taken as a voter, and the steps of a replacement

New lines: 216 when a voting controller stops responding (with the time since its last message), 217 when a controller begins to manage the voters (with the time that it has led), 218 why a candidate is passed over (time since it is reachable, versions behind, counts by reason; once a second), 219 when the voters have changed. Whether a node has synced what this controller has is in state/replicas.rs now, with the reason if not. No decision changes.

--- a/crates/caperworks/src/leadership/liveness.rs
+++ b/crates/caperworks/src/leadership/liveness.rs
@@ -75,6 +75,11 @@
         self.seen.get(&node).map(|seen| seen.last)
     }
 
+    /// Returns since when messages of a node have arrived without a gap.
+    pub fn reachable_since(&self, node: NodeId) -> Option<Duration> {
+        self.seen.get(&node).map(|seen| seen.since)
+    }
+
     /// Returns whether a node is not suspected.
     pub fn is_alive(&self, now: Duration, node: NodeId) -> bool {
         self.seen
--- a/crates/controller/src/consensus/mod.rs
+++ b/crates/controller/src/consensus/mod.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 
 use crate::consensus::snapshot_transfer::Delivery;
+use crate::leadership::voter_log;
 use crate::state::ControllerState;
 use crate::state_machine::event::Event;
 use crate::state_machine::output::ControllerOutput;
@@ -93,6 +94,7 @@
     if map == MapName::Membership {
         state.quorum_reads.reset(membership_before);
         state.next_quorum_read_at = state.now;
+        voter_log::log_changed_voters(state);
     }
 }
 
--- a/crates/controller/src/daemon/events.rs
+++ b/crates/controller/src/daemon/events.rs
@@ -1,10 +1,12 @@
 //! Logging of the controller's events, each under its number in the event catalogue.
 
 use crate::state_machine::event::Event;
+use caperworks::identifiers::NodeId;
 use runtime::events::{
-    event, DISK_DAMAGED, DISK_RECOVERED, DISK_REFUSED, FENCED, FOUNDED, INSTANCE_GONE,
-    LEADERSHIP_REQUESTED, MAJORITY_LOST, MAP_UPDATED, MEMBER_GONE, OWNERSHIP_LEADER_ELECTED,
-    PIECE_REFUSED, SHUTDOWN_INCOMPLETE, STATE_TOO_LARGE, VOTER_REFUSED, VOTER_WANTED,
+    event, CANDIDATE_WAITING, DISK_DAMAGED, DISK_RECOVERED, DISK_REFUSED, FENCED, FOUNDED,
+    INSTANCE_GONE, LEADERSHIP_REQUESTED, MAJORITY_LOST, MAP_UPDATED, MEMBER_GONE,
+    OWNERSHIP_LEADER_ELECTED, PIECE_REFUSED, SHUTDOWN_INCOMPLETE, STATE_TOO_LARGE, VOTERS_CHANGED,
+    VOTER_MANAGEMENT_STARTED, VOTER_REFUSED, VOTER_UNREACHABLE, VOTER_WANTED,
 };
 
 /// Writes an event to the log.
@@ -26,6 +28,16 @@
         Event::MemberExpired { node } => event(MEMBER_GONE, node),
         Event::VoterChangeProposed { why } => event(VOTER_WANTED, why),
         Event::VoterChangeRejected { why } => event(VOTER_REFUSED, why),
+        Event::VoterUnreachable { why } => event(VOTER_UNREACHABLE, why),
+        Event::VoterManagementStarted { epoch, leading_for } => event(
+            VOTER_MANAGEMENT_STARTED,
+            format!("epoch {epoch}, leader for {} ms", leading_for.as_millis()),
+        ),
+        Event::CandidateWaiting { why } => event(CANDIDATE_WAITING, why),
+        Event::VotersChanged { voters } => {
+            let voters: Vec<String> = voters.iter().map(NodeId::to_string).collect();
+            event(VOTERS_CHANGED, voters.join(", "));
+        }
         Event::Fenced { what } => event(FENCED, what),
         Event::ChunkRejected { map, from, why } => {
             event(PIECE_REFUSED, format!("{map} from {from}: {why}"))
--- a/crates/controller/src/leadership/mod.rs
+++ b/crates/controller/src/leadership/mod.rs
@@ -23,12 +23,14 @@
 pub mod ownership;
 pub mod solver;
 pub mod voter_candidates;
+pub mod voter_log;
 pub mod voter_management;
 
 /// Acquires, keeps and hands over leadership roles, and does the work of those that this controller has.
 pub fn tick(state: &mut ControllerState) {
     majority_loss::mark_replaced_voters(state);
     majority_loss::log_lost_majority(state);
+    voter_log::log_unreachable_voters(state);
     for index in 0..state.leaderships.len() {
         let step = state.leaderships[index].step(
             state.now,
@@ -55,7 +57,7 @@
             LeadershipStep::Lead { epoch, leading_for } => match name {
                 SOLVER => solver::update_placement(state, epoch, leading_for),
                 OWNERSHIP => ownership::manage_key_ranges(state, epoch, leading_for),
-                _ => voter_management::manage_voters(state, leading_for),
+                _ => voter_management::manage_voters(state, epoch, leading_for),
             },
         }
     }
--- a/crates/controller/src/leadership/voter_candidates.rs
+++ b/crates/controller/src/leadership/voter_candidates.rs
@@ -1,5 +1,8 @@
 //! Candidates for voters: controllers that are not voters, and agents that could become witnesses.
 
+use std::net::SocketAddr;
+
+use crate::state::parts::KnownController;
 use crate::state::ControllerState;
 use caperworks::facts::{Member, Role};
 use caperworks::identifiers::{Version, Zone};
@@ -12,15 +15,23 @@
 /// which agent happens to be up to date first.
 const MAX_WITNESS_LAG: u64 = 20;
 
+/// Returns the known controllers that are not voters.
+pub(super) fn non_voters<'state>(
+    state: &'state ControllerState,
+    voters: &'state VoterSet,
+) -> impl Iterator<Item = (&'state SocketAddr, &'state KnownController)> {
+    state
+        .known_controllers
+        .iter()
+        .filter(|(_, seen)| voters.entry(seen.node).is_none())
+}
+
 /// Returns a live controller that is not a voter and has synced all maps to disk.
 pub(super) fn controller_candidate(
     state: &ControllerState,
     voters: &VoterSet,
 ) -> Option<VoterEntry> {
-    state
-        .known_controllers
-        .iter()
-        .filter(|(_, seen)| voters.entry(seen.node).is_none())
+    non_voters(state, voters)
         .find(|(_, seen)| state.is_synced_replica(seen.node))
         .map(|(address, seen)| VoterEntry {
             node: seen.node,
--- a/crates/controller/src/leadership/voter_management.rs
+++ b/crates/controller/src/leadership/voter_management.rs
@@ -11,11 +11,12 @@
 use crate::leadership::majority_loss::is_replaced;
 use crate::leadership::own_changes::single_put;
 use crate::leadership::voter_candidates::{controller_candidate, has_voter_in, witness_candidate};
+use crate::leadership::voter_log;
 use crate::state::parts::ProposalOrigin;
 use crate::state::ControllerState;
 use crate::state_machine::event::Event;
 use caperworks::consensus::proposer::ensure_recovered;
-use caperworks::identifiers::NodeId;
+use caperworks::identifiers::{Epoch, NodeId};
 use caperworks::map_items::{Value, VoterEntry, VoterSet};
 use caperworks::replicated_map::{Change, MapName, FALLBACK_MEMBERS};
 
@@ -35,7 +36,7 @@
 }
 
 /// Proposes the next voter change if one is due, and otherwise the next change of the fallback members.
-pub(super) fn manage_voters(state: &mut ControllerState, leading_for: Duration) {
+pub(super) fn manage_voters(state: &mut ControllerState, epoch: Epoch, leading_for: Duration) {
     if leading_for < state.options.core.collection_period
         || state.has_proposal_in_flight(&ProposalOrigin::VoterManagement)
         || !state.is_current(MapName::Membership)
@@ -45,7 +46,9 @@
     let Some(voters) = state.voters().cloned() else {
         return;
     };
+    voter_log::log_start_of_term(state, epoch, leading_for);
     record_lost_voters(state, &voters);
+    voter_log::log_waiting_candidates(state, &voters);
     match next_change(state, &voters) {
         Some(change) if !has_live_majority(state, &change.next) => log_rejection(state, change),
         Some(change) => {
--- a/crates/controller/src/state/mod.rs
+++ b/crates/controller/src/state/mod.rs
@@ -37,6 +37,7 @@
 
 pub mod options;
 pub mod parts;
+pub mod replicas;
 
 messages! {
     /// The state of a controller that is stored in a slot.
@@ -228,19 +229,6 @@
         ALL_MAPS.map(|name| self.map(name).version).to_vec()
     }
 
-    /// Returns whether a node is alive and has synced everything that this one has.
-    pub fn is_synced_replica(&self, node: NodeId) -> bool {
-        let own = self.versions();
-        self.liveness.is_alive(self.now, node)
-            && self
-                .reported_synced_versions
-                .get(&node)
-                .is_some_and(|synced| {
-                    synced.len() == own.len()
-                        && synced.iter().zip(&own).all(|(synced, own)| synced >= own)
-                })
-    }
-
     /// Returns the voters, or `None` while this node does not know a membership.
     pub fn voters(&self) -> Option<&VoterSet> {
         self.map(MapName::Membership).voters()
--- a/crates/controller/src/state/parts.rs
+++ b/crates/controller/src/state/parts.rs
@@ -96,6 +96,34 @@
     pub lost_since: BTreeMap<NodeId, Duration>,
     /// When a change that cannot be made was last logged.
     pub rejection_logged_at: Duration,
+    /// The epoch of the term in which this controller last managed the voters.
+    pub epoch: Option<Epoch>,
+    /// The controllers that are no voters although one is missing.
+    pub waiting_candidates: BTreeMap<NodeId, WaitingCandidate>,
+    /// The voting controllers whose loss was logged.
+    pub logged_unreachable: BTreeSet<NodeId>,
+    /// The voters that were last logged.
+    pub logged_voters: Vec<NodeId>,
+}
+
+/// A controller that cannot become a voter yet.
+#[derive(Debug, Clone, Default)]
+pub struct WaitingCandidate {
+    /// How often it was passed over since it became a candidate, by the reason.
+    pub passed_over: BTreeMap<PassedOver, u32>,
+    /// When it was last logged.
+    pub logged_at: Duration,
+}
+
+/// Why a candidate was passed over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PassedOver {
+    /// It has not responded within the suspicion timeout.
+    Unreachable,
+    /// It has not reported what it has synced.
+    Unreported,
+    /// It has not synced what it must have.
+    Behind,
 }
 
 /// The time without contact to a majority of the voters.
--- a/crates/controller/src/state_machine/event.rs
+++ b/crates/controller/src/state_machine/event.rs
@@ -1,6 +1,7 @@
 //! Events of the controller that are written to the log.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use caperworks::catch_up::ChunkError;
 use caperworks::identifiers::{Epoch, InstanceId, NodeId, Version};
@@ -64,6 +65,28 @@
         /// The reason for the change, and the number of live voters after it.
         why: String,
     },
+    /// A voting controller has not responded within the suspicion timeout.
+    VoterUnreachable {
+        /// The voter's ID and address, and when its last message arrived.
+        why: String,
+    },
+    /// This controller begins to manage the voters in a new term.
+    VoterManagementStarted {
+        /// The epoch of the term.
+        epoch: Epoch,
+        /// How long this controller has been the leader.
+        leading_for: Duration,
+    },
+    /// A controller is missing among the voters, and this one cannot become a voter yet.
+    CandidateWaiting {
+        /// The candidate, and the reasons with their counts.
+        why: String,
+    },
+    /// The voters have changed.
+    VotersChanged {
+        /// The voters of the new membership.
+        voters: Vec<NodeId>,
+    },
     /// A leader's write was rejected because another term has fenced the map.
     Fenced {
         /// The origin of the write, and the items that conflict.
--- a/crates/controller/tests/fleet/main.rs
+++ b/crates/controller/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod follower;
+mod replacements;
 mod restarts;
 mod slow_links;
 #[path = "../support/mod.rs"]
--- a/crates/runtime/src/events.rs
+++ b/crates/runtime/src/events.rs
@@ -57,6 +57,10 @@
     213 Warn PIECE_REFUSED "A chunk of a snapshot was rejected; nothing of it is kept, and the local replica is unchanged.";
     214 Warn MAJORITY_LOST "Less than a majority of the voters respond: this controller confirms nothing until they do.";
     215 Warn SHUTDOWN_INCOMPLETE "A graceful shutdown ended before other controllers had all data of this one on their disks.";
+    216 Warn VOTER_UNREACHABLE "A controller that is a voter has not responded within the suspicion timeout.";
+    217 Info VOTER_MANAGEMENT_STARTED "This controller begins to replace voters, under the given epoch.";
+    218 Info CANDIDATE_WAITING "A controller is missing among the voters, and this one cannot become a voter yet: the line counts the reasons since the last one.";
+    219 Info VOTERS_CHANGED "The membership has other voters; the line lists them.";
     300 Info FRESH "The lease is valid, and the versions that it names are present.";
     301 Warn STALE "The lease has expired: the proxy rejects requests until it is renewed.";
     302 Warn PARTITION_FALLBACK_ENTERED "The controllers are unreachable; the responses of a majority of the agents keep this one fresh.";
