Compare a candidate for a voter with what the voter manager had a second ago

Cause: the voter manager took a controller as a voter only if its last report (up to 200 ms old) named at least the versions that the manager had at the moment of looking. While changes go on there is seldom such a moment: a controller without a vote learns of a change up to 200 ms later, by its own quorum read. So the lost controller stayed among the voters.

Change: the controller keeps the versions of its last seconds, and a candidate must have synced those of a second ago (MAX_REPLICA_LAG). The target no longer moves while it is looked at, so one that keeps up always qualifies; one whose disk hangs does not. Why this is safe: whether an accepted change is kept never rested on the candidate. Before each change of voters all maps are recovered under the voters before, so each accepted change is on the disks of a majority of them; a new voter votes only on the version after its own, and only what is synced is reported.

Learners that get each commit were weighed: not needed for this, and a message more for each change.

--- a/crates/controller/src/leadership/handover.rs
+++ b/crates/controller/src/leadership/handover.rs
@@ -13,9 +13,9 @@
     if state.has_proposal_in_flight(&ProposalOrigin::Leadership(name)) {
         return;
     }
-    let Some(successor) =
-        other_controller_voters(state).find(|node| state.is_synced_replica(*node))
-    else {
+    let required = state.versions();
+    let successor = other_controller_voters(state).find(|node| state.has_synced(*node, &required));
+    let Some(successor) = successor else {
         return;
     };
     let term = LeadershipTerm {
@@ -28,8 +28,9 @@
 
 /// Returns how many other controllers with a vote are alive and have synced everything that this one has.
 pub fn synced_replica_count(state: &ControllerState) -> usize {
+    let required = state.versions();
     other_controller_voters(state)
-        .filter(|node| state.is_synced_replica(*node))
+        .filter(|node| state.has_synced(*node, &required))
         .count()
 }
 
--- a/crates/controller/src/leadership/voter_candidates.rs
+++ b/crates/controller/src/leadership/voter_candidates.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::state::parts::KnownController;
+use crate::state::replicas::MAX_REPLICA_LAG;
 use crate::state::ControllerState;
 use caperworks::facts::{Member, Role};
 use caperworks::identifiers::{Version, Zone};
@@ -26,13 +27,18 @@
         .filter(|(_, seen)| voters.entry(seen.node).is_none())
 }
 
-/// Returns a live controller that is not a voter and has synced all maps to disk.
+/// Returns a live controller that is not a voter and keeps up with the changes: it has synced all maps to disk
+/// as this controller had them [`MAX_REPLICA_LAG`] ago.
+///
+/// What it lacks is not at risk: under the voters before, each accepted change is on the disks of a majority,
+/// and a new voter votes only on the change after the last one that it has.
 pub(super) fn controller_candidate(
     state: &ControllerState,
     voters: &VoterSet,
 ) -> Option<VoterEntry> {
+    let required = state.versions_before(MAX_REPLICA_LAG);
     non_voters(state, voters)
-        .find(|(_, seen)| state.is_synced_replica(seen.node))
+        .find(|(_, seen)| state.has_synced(seen.node, &required))
         .map(|(address, seen)| VoterEntry {
             node: seen.node,
             address: *address,
--- a/crates/controller/src/leadership/voter_log.rs
+++ b/crates/controller/src/leadership/voter_log.rs
@@ -7,7 +7,7 @@
 use crate::leadership::majority_loss::is_replaced;
 use crate::leadership::voter_candidates::non_voters;
 use crate::state::parts::{PassedOver, WaitingCandidate};
-use crate::state::replicas::ReplicaStatus;
+use crate::state::replicas::{ReplicaStatus, MAX_REPLICA_LAG};
 use crate::state::ControllerState;
 use crate::state_machine::event::Event;
 use caperworks::identifiers::{Epoch, NodeId};
@@ -70,9 +70,10 @@
         state.voter_management.waiting_candidates.clear();
         return;
     }
+    let required = state.versions_before(MAX_REPLICA_LAG);
     let waiting: Vec<(NodeId, SocketAddr, PassedOver, ReplicaStatus)> = non_voters(state, voters)
         .filter_map(|(address, seen)| {
-            let status = state.replica_status(seen.node);
+            let status = state.replica_status(seen.node, &required);
             Some((seen.node, *address, passed_over(status)?, status))
         })
         .collect();
--- a/crates/controller/src/state/mod.rs
+++ b/crates/controller/src/state/mod.rs
@@ -15,6 +15,7 @@
     FoundingProgress, KnownController, MajorityLoss, OwnershipRole, PendingConfirmation,
     ProposalOrigin, VoterManagement, Watcher,
 };
+use crate::state::recent_versions::RecentVersions;
 use crate::state_machine::event::Event;
 use crate::state_machine::operator_messages::OperatorResponse;
 use crate::state_machine::output::ControllerOutput;
@@ -37,6 +38,7 @@
 
 pub mod options;
 pub mod parts;
+pub mod recent_versions;
 pub mod replicas;
 
 messages! {
@@ -131,6 +133,8 @@
     pub ownership_role: OwnershipRole,
     /// The state of the voter management role.
     pub voter_management: VoterManagement,
+    /// The versions that this controller had recently.
+    pub recent_versions: RecentVersions,
     /// The versions that each node last reported as synced to its disk.
     pub reported_synced_versions: BTreeMap<NodeId, Vec<Version>>,
     /// The loss of the majority, while it lasts.
@@ -207,6 +211,7 @@
             solver: Solver::default(),
             ownership_role: OwnershipRole::default(),
             voter_management: VoterManagement::default(),
+            recent_versions: RecentVersions::default(),
             reported_synced_versions: BTreeMap::new(),
             majority_loss: MajorityLoss::default(),
             stopping_since: None,
--- a/crates/controller/src/state_machine/ticks.rs
+++ b/crates/controller/src/state_machine/ticks.rs
@@ -9,6 +9,7 @@
 
 /// Does all periodic work that is due.
 pub(super) fn tick(state: &mut ControllerState) {
+    state.record_versions();
     storage::retry_failed_write(state);
     founding::tick(state);
     quorum_reads::tick(state);
--- a/crates/controller/tests/fleet/replacements.rs
+++ b/crates/controller/tests/fleet/replacements.rs
@@ -2,11 +2,15 @@
 
 use std::time::Duration;
 
-use crate::fleet::Fleet;
-use crate::support::controllers::policy;
+use crate::fleet::{apply, service, service_put, Fleet};
+use crate::support::controllers::{policy, STEP};
+use caperworks::identifiers::NodeId;
 use caperworks::policy::CorePolicy;
 use controller::state_machine::event::Event;
 
+/// The shortest `sync_time_s` of the deployments: a successor must be a voter that long after its start.
+const SYNC_TIME: Duration = Duration::from_secs(4);
+
 /// The policy of controllers on the operators' platform.
 fn platform_policy() -> CorePolicy {
     CorePolicy {
@@ -75,3 +79,100 @@
     assert_eq!(voters_of(1), [(2, false), (3, true)]);
     assert_eq!(voters_of(2), [(2, false), (3, true)]);
 }
+/// Operators that keep changing services at the controllers that run.
+struct SteadyChanges {
+    interval: Duration,
+    next_at: Duration,
+    count: u64,
+}
+
+impl SteadyChanges {
+    fn new(interval: Duration) -> Self {
+        Self {
+            interval,
+            next_at: Duration::ZERO,
+            count: 0,
+        }
+    }
+
+    /// Lets the fleet run while changes are sent.
+    fn run(&mut self, fleet: &mut Fleet, duration: Duration) {
+        let until = fleet.now + duration;
+        while fleet.now < until {
+            fleet.run(STEP);
+            if fleet.now >= self.next_at {
+                self.next_at = fleet.now + self.interval;
+                self.send(fleet);
+            }
+        }
+    }
+
+    /// Sends the next change to the next controller that runs and is not shutting down.
+    fn send(&mut self, fleet: &mut Fleet) {
+        let running: Vec<usize> = (0..fleet.nodes.len())
+            .filter(|index| {
+                let machine = fleet.nodes[*index].machine.as_ref();
+                machine.is_some_and(|machine| machine.state.stopping_since.is_none())
+            })
+            .collect();
+        self.count += 1;
+        let index = running[self.count as usize % running.len()];
+        let service_name = format!("records-{}", self.count % 4);
+        let put = service_put(&service_name, self.count, Some(service()));
+        fleet.call(index, apply(&format!("change-{}", self.count), vec![put]));
+    }
+}
+
+/// Intervals between changes, from many within a quorum read to one in several seconds.
+const CHANGE_INTERVALS_MS: [u64; 8] = [25, 50, 75, 100, 200, 300, 1000, 3000];
+
+/// Returns whether a node is a voter in the membership of each controller of `observers`.
+fn is_voter_at(fleet: &Fleet, node: NodeId, observers: &[usize]) -> bool {
+    observers.iter().all(|index| {
+        let machine = fleet.nodes[*index].machine.as_ref();
+        let voters = machine.and_then(|machine| machine.state.voters());
+        voters.is_some_and(|voters| voters.entry(node).is_some())
+    })
+}
+
+fn node_of(fleet: &Fleet, index: usize) -> NodeId {
+    let machine = fleet.nodes[index].machine.as_ref();
+    machine.expect("the controller is running").node()
+}
+
+/// Returns the time from the start of the successor until it is a voter, while changes go on; `None` if that
+/// takes longer than 30 s.
+fn time_to_replacement(lost: usize, interval: Duration, seed: u64) -> Option<Duration> {
+    let mut fleet = founded_fleet(seed);
+    let mut changes = SteadyChanges::new(interval);
+    changes.run(&mut fleet, Duration::from_secs(2));
+    fleet.stop(lost, true);
+    let successor = fleet.add_controller(platform_policy());
+    let node = node_of(&fleet, successor);
+    let survivors: Vec<usize> = (0..3).filter(|index| *index != lost).collect();
+    let since = fleet.now;
+    while fleet.now < since + Duration::from_secs(30) {
+        changes.run(&mut fleet, STEP);
+        if is_voter_at(&fleet, node, &survivors) {
+            return Some(fleet.now - since);
+        }
+    }
+    None
+}
+
+/// Guards against a successor that never becomes a voter because each change makes it behind again.
+#[test]
+fn successor_becomes_voter_while_configuration_changes() {
+    let mut too_late = Vec::new();
+    for (number, interval) in CHANGE_INTERVALS_MS.into_iter().enumerate() {
+        // Controller 0 manages the voters.
+        for lost in [1, 2] {
+            let seed = 410 + number as u64 * 3 + lost as u64;
+            let taken = time_to_replacement(lost, Duration::from_millis(interval), seed);
+            if taken.is_none_or(|taken| taken > SYNC_TIME) {
+                too_late.push((interval, lost, taken));
+            }
+        }
+    }
+    assert!(too_late.is_empty(), "{too_late:?}");
+}
