A stopping controller waits for what it had when its stop began

Test: shutdown_completes_while_configuration_changes, failed before.

Also: a candidate that is unreachable is logged once, since a removed controller stays known.

--- a/crates/controller/src/leadership/voter_log.rs
+++ b/crates/controller/src/leadership/voter_log.rs
@@ -83,7 +83,10 @@
         let candidate = candidates.entry(node).or_default();
         *candidate.passed_over.entry(reason).or_default() += 1;
         let total: u32 = candidate.passed_over.values().sum();
-        if total > 1 && now < candidate.logged_at + CANDIDATE_LOG_INTERVAL {
+        // A controller that is gone for good stays known, and is logged once.
+        let is_repeat =
+            reason == PassedOver::Unreachable || now < candidate.logged_at + CANDIDATE_LOG_INTERVAL;
+        if total > 1 && is_repeat {
             continue;
         }
         candidate.logged_at = now;
--- a/crates/controller/src/state_machine/mod.rs
+++ b/crates/controller/src/state_machine/mod.rs
@@ -76,9 +76,7 @@
             }
             ControllerInput::WriteSynced { ticket } => storage::handle_synced(state, ticket),
             ControllerInput::WriteFailed { ticket } => storage::handle_write_failed(state, ticket),
-            ControllerInput::Shutdown => {
-                state.stopping_since.get_or_insert(now);
-            }
+            ControllerInput::Shutdown => shutdown::begin(state),
             ControllerInput::OperatorCall {
                 ticket,
                 call,
--- a/crates/controller/src/state_machine/shutdown.rs
+++ b/crates/controller/src/state_machine/shutdown.rs
@@ -13,6 +13,12 @@
 /// Maximum time that a graceful shutdown waits for handovers, operators' calls and replicas.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Begins a graceful shutdown, unless it has begun already.
+pub(super) fn begin(state: &mut ControllerState) {
+    state.stopping_since.get_or_insert(state.now);
+    state.record_versions();
+}
+
 /// Completes a graceful shutdown once no call is pending, this controller leads nothing, and enough other
 /// controllers have synced its state, or once the timeout has passed. Missing replicas are then logged.
 pub(super) fn stop_when_done(state: &mut ControllerState) {
--- a/crates/controller/tests/fleet/replacements.rs
+++ b/crates/controller/tests/fleet/replacements.rs
@@ -7,6 +7,7 @@
 use caperworks::identifiers::NodeId;
 use caperworks::policy::CorePolicy;
 use controller::state_machine::event::Event;
+use controller::state_machine::input::ControllerInput;
 
 /// The shortest `sync_time_s` of the deployments: a successor must be a voter that long after its start.
 const SYNC_TIME: Duration = Duration::from_secs(4);
@@ -176,3 +177,19 @@
     }
     assert!(too_late.is_empty(), "{too_late:?}");
 }
+
+/// Guards against a shutdown that hands no role over because each change makes the others behind again.
+#[test]
+fn shutdown_completes_while_configuration_changes() {
+    for (number, interval) in CHANGE_INTERVALS_MS.into_iter().enumerate() {
+        let mut fleet = founded_fleet(440 + number as u64);
+        let mut changes = SteadyChanges::new(Duration::from_millis(interval));
+        changes.run(&mut fleet, Duration::from_secs(2));
+        fleet.handle_input(0, ControllerInput::Shutdown);
+        changes.run(&mut fleet, Duration::from_secs(2));
+        assert!(fleet.stopped.contains(&0), "changes each {interval} ms");
+        let incomplete =
+            |(_, event): &(usize, Event)| matches!(event, Event::ShutdownIncomplete { .. });
+        assert!(!fleet.events.iter().any(incomplete));
+    }
+}
