Compare an agent that may become a witness with the versions of two seconds ago

Same cause as for candidates among the controllers: an agent's versions are those of its last renewal, passed on by another controller, and they were compared with what the voter manager has now, less 20 versions. With the eight changes in flight that operators may have, each 25 ms, no agent was ever within 20, and a fleet without a witness stayed without one.

Now an agent may lack 20 of the versions that the manager had two seconds ago. With few changes nothing is different; a witness catches up before it votes, as before. Test: agent_becomes_witness_while_configuration_changes, failed before (no witness after 8 s).

--- a/crates/controller/src/leadership/voter_candidates.rs
+++ b/crates/controller/src/leadership/voter_candidates.rs
@@ -1,6 +1,7 @@
 //! Candidates for voters: controllers that are not voters, and agents that could become witnesses.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::state::parts::KnownController;
 use crate::state::replicas::MAX_REPLICA_LAG;
@@ -10,11 +11,16 @@
 use caperworks::map_items::{VoterEntry, VoterSet};
 use caperworks::replicated_map::{MapName, ALL_MAPS};
 
-/// Number of versions that an agent may be behind when it becomes a witness.
+/// How old the versions may be that an agent must nearly have when it becomes a witness.
+///
+/// They cover the time until its next renewal, and until another controller passes that on.
+const MAX_WITNESS_LAG: Duration = Duration::from_secs(2);
+
+/// Number of those versions that an agent may lack when it becomes a witness.
 ///
 /// It need not be fully up to date, since it catches up before it votes. Its zone must matter more than
 /// which agent happens to be up to date first.
-const MAX_WITNESS_LAG: u64 = 20;
+const MAX_WITNESS_MISSING_VERSIONS: u64 = 20;
 
 /// Returns the known controllers that are not voters.
 pub(super) fn non_voters<'state>(
@@ -50,7 +56,7 @@
 /// Returns a live agent that could become a witness. Zones without a voting controller come first, then zones
 /// without any voter, so that the loss of a zone costs as few voters as possible.
 pub(super) fn witness_candidate(state: &ControllerState, voters: &VoterSet) -> Option<VoterEntry> {
-    let versions = state.versions();
+    let required = state.versions_before(MAX_WITNESS_LAG);
     let has_vote_of = |zone: &Zone, is_controller: bool| {
         voters
             .entries
@@ -62,7 +68,7 @@
         .iter()
         .filter(|member| member.role == Role::Proxy && !member.draining)
         .filter(|member| voters.entry(member.node).is_none())
-        .filter(|member| is_nearly_up_to_date(member, &versions))
+        .filter(|member| is_nearly_up_to_date(member, &required))
         .min_by_key(|member| {
             (
                 has_vote_of(&member.zone, true),
@@ -79,19 +85,19 @@
         })
 }
 
-/// Returns whether an agent's maps are at most [`MAX_WITNESS_LAG`] versions behind this controller's.
+/// Returns whether an agent lacks at most [`MAX_WITNESS_MISSING_VERSIONS`] of the required versions of each map.
 ///
 /// The placement map does not count, since agents do not follow it. A new witness fetches it with its first
 /// vote, and the change that adds the witness is proposed only when a majority has it already.
-fn is_nearly_up_to_date(member: &Member, own: &[Version]) -> bool {
-    member.versions.len() == own.len()
+fn is_nearly_up_to_date(member: &Member, required: &[Version]) -> bool {
+    member.versions.len() == required.len()
         && member
             .versions
             .iter()
-            .zip(own)
+            .zip(required)
             .zip(ALL_MAPS)
             .filter(|(_, name)| *name != MapName::Placement)
-            .all(|((theirs, own), _)| theirs.0 + MAX_WITNESS_LAG >= own.0)
+            .all(|((theirs, required), _)| theirs.0 + MAX_WITNESS_MISSING_VERSIONS >= required.0)
 }
 
 /// Returns whether a zone has a voter.
--- a/crates/controller/tests/fleet/replacements.rs
+++ b/crates/controller/tests/fleet/replacements.rs
@@ -3,9 +3,13 @@
 use std::time::Duration;
 
 use crate::fleet::{apply, service, service_put, Fleet};
-use crate::support::controllers::{policy, STEP};
+use crate::follower::FollowerProcess;
+use crate::restarts::run_with_follower;
+use crate::support::controllers::{address, policy, STEP};
+use caperworks::facts::Role;
 use caperworks::identifiers::NodeId;
 use caperworks::policy::CorePolicy;
+use caperworks::replicated_map::MapName;
 use controller::state_machine::event::Event;
 use controller::state_machine::input::ControllerInput;
 
@@ -124,6 +128,9 @@
     }
 }
 
+/// The number of changes that operators may have in flight at once.
+const CHANGES_IN_FLIGHT: u32 = 8;
+
 /// Intervals between changes, from many within a quorum read to one in several seconds.
 const CHANGE_INTERVALS_MS: [u64; 8] = [25, 50, 75, 100, 200, 300, 1000, 3000];
 
@@ -193,3 +200,27 @@
         assert!(!fleet.events.iter().any(incomplete));
     }
 }
+
+/// Guards against a fleet that stays without a witness because each change makes the agents behind again.
+#[test]
+fn agent_becomes_witness_while_configuration_changes() {
+    let core = CorePolicy {
+        witness_voters: 1,
+        ..platform_policy()
+    };
+    let mut fleet = Fleet::new(std::array::from_fn(|_| core.clone()), 460);
+    let mut changes = SteadyChanges::new(STEP);
+    changes.run(&mut fleet, Duration::from_secs(8));
+    let mut agent = FollowerProcess::new(0, Role::Proxy, MapName::Ownership);
+    // It renews its lease at a controller that does not manage the voters.
+    agent.link.seeds = vec![address(1)];
+    let node = agent.member(fleet.now).node;
+    let until = fleet.now + Duration::from_secs(8);
+    while fleet.now < until && !is_voter_at(&fleet, node, &[0, 1, 2]) {
+        run_with_follower(&mut fleet, &mut agent, STEP);
+        for _ in 0..CHANGES_IN_FLIGHT {
+            changes.send(&mut fleet);
+        }
+    }
+    assert!(is_voter_at(&fleet, node, &[0, 1, 2]));
+}
--- a/crates/controller/tests/fleet/restarts.rs
+++ b/crates/controller/tests/fleet/restarts.rs
@@ -25,7 +25,7 @@
 }
 
 /// Runs the controllers for a while and delivers messages between them and a follower.
-fn run_with_follower(fleet: &mut Fleet, follower: &mut FollowerProcess, duration: Duration) {
+pub fn run_with_follower(fleet: &mut Fleet, follower: &mut FollowerProcess, duration: Duration) {
     let until = fleet.now + duration;
     while fleet.now < until {
         fleet.run(STEP);
