A controller that follows the changes may lead, however far away it is

While changes come more often than a round trip, each report is older, from every controller in another region, so each considered only itself and its neighbours eligible.

Now it is behind if it lacks a change that the reader had 1.5 s before; what it takes to fall behind is the same. The test's fleet gets controllers in another region, whose messages take some time. Test: distant_controller_counts_as_up_to_date_while_configuration_changes, failed before (50 ms one way, a change each 50 ms). controller_that_is_behind_does_not_become_leader passes unchanged, with its injected fault.

--- a/crates/caperworks/src/leadership.rs
+++ b/crates/caperworks/src/leadership.rs
@@ -30,7 +30,7 @@
 /// How long a node must have been reachable at the address of an earlier node before the earlier one
 /// counts as replaced.
 pub const SUCCESSOR_CONFIRMATION_PERIOD: Duration = Duration::from_millis(500);
-/// A controller that has reported older map versions than ours for this long must not become leader.
+/// A controller that lacks changes that we had this long ago must not become leader.
 pub const MAX_LAG_PERIOD: Duration = SUSPICION_TIMEOUT;
 /// How long a new leader waits before it acts, so that the lease of its predecessor has expired.
 pub const TAKEOVER_WAIT: Duration = LEASE_DURATION;
--- a/crates/caperworks/src/leadership/election.rs
+++ b/crates/caperworks/src/leadership/election.rs
@@ -29,7 +29,7 @@
         .map(|voter| voter.node)
         .find(|node| {
             Some(*node) == leader && leader_is_alive
-                || !liveness.is_behind(now, *node)
+                || !liveness.is_behind(*node)
                     && if leader_is_alive {
                         liveness.is_stable(now, *node)
                     } else {
--- a/crates/caperworks/src/leadership/liveness.rs
+++ b/crates/caperworks/src/leadership/liveness.rs
@@ -1,12 +1,10 @@
 //! The failure detector of the controllers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::identifiers::NodeId;
-use crate::leadership::{
-    MAX_LAG_PERIOD, MIN_STABLE_PERIOD, SUCCESSOR_CONFIRMATION_PERIOD, SUSPICION_TIMEOUT,
-};
+use crate::leadership::{MIN_STABLE_PERIOD, SUCCESSOR_CONFIRMATION_PERIOD, SUSPICION_TIMEOUT};
 
 /// The period in which messages of a node have arrived without a gap.
 #[derive(Debug, Clone, Copy)]
@@ -19,7 +17,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Liveness {
     seen: BTreeMap<NodeId, ReachablePeriod>,
-    behind_since: BTreeMap<NodeId, Duration>,
+    behind: BTreeSet<NodeId>,
 }
 
 impl Liveness {
@@ -35,20 +33,19 @@
         entry.last = now;
     }
 
-    /// Handles the map versions that a controller reported; `is_up_to_date` if none is older than ours.
-    pub fn handle_reported_versions(&mut self, now: Duration, node: NodeId, is_up_to_date: bool) {
-        if is_up_to_date {
-            self.behind_since.remove(&node);
+    /// Records whether a controller is behind: whether it reported older map versions than ours of
+    /// [`MAX_LAG_PERIOD`](crate::leadership::MAX_LAG_PERIOD) ago.
+    pub fn record_lag(&mut self, node: NodeId, is_behind: bool) {
+        if is_behind {
+            self.behind.insert(node);
         } else {
-            self.behind_since.entry(node).or_insert(now);
+            self.behind.remove(&node);
         }
     }
 
-    /// Returns whether a controller has been behind for so long that it must not become leader.
-    pub fn is_behind(&self, now: Duration, node: NodeId) -> bool {
-        self.behind_since
-            .get(&node)
-            .is_some_and(|since| now.saturating_sub(*since) >= MAX_LAG_PERIOD)
+    /// Returns whether a controller is so far behind that it must not become leader.
+    pub fn is_behind(&self, node: NodeId) -> bool {
+        self.behind.contains(&node)
     }
 
     /// Returns whether `node`, which has the address of `predecessor`, has been seen only since the last
--- a/crates/controller/src/consensus/quorum_reads.rs
+++ b/crates/controller/src/consensus/quorum_reads.rs
@@ -12,6 +12,7 @@
 use crate::fault_injection::FaultInjection;
 use crate::state::ControllerState;
 use caperworks::identifiers::{NodeId, Version};
+use caperworks::leadership::MAX_LAG_PERIOD;
 use caperworks::map_items::VoterSet;
 use caperworks::messages::Message;
 use caperworks::replicated_map::{MapName, ALL_MAPS};
@@ -73,11 +74,12 @@
     versions: &[Version],
     synced: Option<Vec<Version>>,
 ) {
-    let own = state.versions();
-    let is_up_to_date = versions.iter().zip(&own).all(|(theirs, own)| theirs >= own);
-    state
-        .liveness
-        .handle_reported_versions(state.now, from, is_up_to_date);
+    let required = state.versions_before(MAX_LAG_PERIOD);
+    let is_behind = versions
+        .iter()
+        .zip(&required)
+        .any(|(theirs, required)| theirs < required);
+    state.liveness.record_lag(from, is_behind);
     state
         .reported_synced_versions
         .insert(from, synced.unwrap_or_default());
--- a/crates/controller/tests/fleet/fleet.rs
+++ b/crates/controller/tests/fleet/fleet.rs
@@ -36,6 +36,10 @@
     pub nodes: Vec<SimulatedNode>,
     pub now: Duration,
     pub wire: VecDeque<(SocketAddr, Envelope)>,
+    /// Messages of distant controllers on their way, each with the time of its arrival.
+    pub delayed: VecDeque<(Duration, SocketAddr, Envelope)>,
+    /// Controllers in another region: messages between them and all others take this long.
+    pub distant: BTreeMap<usize, Duration>,
     /// Messages to addresses that do not belong to a controller.
     pub to_followers: Vec<(SocketAddr, Envelope)>,
     /// Controllers that are partitioned from all others.
@@ -56,6 +60,8 @@
             nodes: Vec::new(),
             now: Duration::ZERO,
             wire: VecDeque::new(),
+            delayed: VecDeque::new(),
+            distant: BTreeMap::new(),
             to_followers: Vec::new(),
             partitioned: BTreeSet::new(),
             responses: BTreeMap::new(),
@@ -182,30 +188,57 @@
         self.deliver();
     }
 
+    /// Returns the index of the controller at an address.
+    fn index_at(&self, at: SocketAddr) -> Option<usize> {
+        (0..self.nodes.len()).find(|index| address(*index) == at)
+    }
+
     pub fn deliver(&mut self) {
         while let Some((to, envelope)) = self.wire.pop_front() {
-            let nodes = self.nodes.len();
-            let index = (0..nodes).find(|index| address(*index) == to);
-            let from = (0..nodes).find(|index| address(*index) == envelope.reply_to);
-            let Some(index) = index else {
+            let from = self.index_at(envelope.reply_to);
+            let Some(index) = self.index_at(to) else {
                 self.to_followers.push((to, envelope));
                 continue;
             };
             let is_own = from == Some(index);
-            let is_partitioned = self.partitioned.contains(&index)
-                || from.is_some_and(|from| self.partitioned.contains(&from));
-            if is_partitioned && !is_own {
-                continue;
+            let delay_of = |index: usize| self.distant.get(&index).copied();
+            let delay = delay_of(index).max(from.and_then(delay_of));
+            match delay.filter(|_| !is_own) {
+                Some(delay) => self.delayed.push_back((self.now + delay, to, envelope)),
+                None => self.receive(index, envelope),
             }
-            let outputs = self.input(index, ControllerInput::MessageReceived { envelope });
-            self.carry_out(index, outputs);
         }
     }
 
+    /// Delivers the messages of distant controllers that have arrived.
+    fn deliver_delayed(&mut self) {
+        let now = self.now;
+        while let Some((_, to, envelope)) = self.delayed.pop_front_if(|(at, _, _)| *at <= now) {
+            if let Some(index) = self.index_at(to) {
+                self.receive(index, envelope);
+            }
+        }
+        self.deliver();
+    }
+
+    /// Passes a message to a controller unless it or the sender is partitioned.
+    fn receive(&mut self, index: usize, envelope: Envelope) {
+        let from = self.index_at(envelope.reply_to);
+        let is_own = from == Some(index);
+        let is_partitioned = self.partitioned.contains(&index)
+            || from.is_some_and(|from| self.partitioned.contains(&from));
+        if is_partitioned && !is_own {
+            return;
+        }
+        let outputs = self.input(index, ControllerInput::MessageReceived { envelope });
+        self.carry_out(index, outputs);
+    }
+
     pub fn run(&mut self, duration: Duration) {
         let until = self.now + duration;
         while self.now < until {
             self.now += STEP;
+            self.deliver_delayed();
             for index in 0..self.nodes.len() {
                 self.handle_input(index, ControllerInput::Tick);
             }
--- a/crates/controller/tests/fleet/replacements.rs
+++ b/crates/controller/tests/fleet/replacements.rs
@@ -224,3 +224,18 @@
     }
     assert!(is_voter_at(&fleet, node, &[0, 1, 2]));
 }
+
+/// Guards against a controller in another region that may not lead because each change makes it behind again.
+#[test]
+fn distant_controller_counts_as_up_to_date_while_configuration_changes() {
+    let mut fleet = founded_fleet(470);
+    fleet.distant.insert(2, STEP * 2);
+    let distant = node_of(&fleet, 2);
+    let mut changes = SteadyChanges::new(STEP * 2);
+    changes.run(&mut fleet, Duration::from_secs(5));
+    for index in [0, 1] {
+        let machine = fleet.nodes[index].machine.as_ref();
+        let state = &machine.expect("the controller is running").state;
+        assert!(!state.liveness.is_behind(distant), "{index}");
+    }
+}
