Replace a lost controller within the sync time of the settings

Cause: the steps came one after the other and nobody compared their sum with sync_time_s, which nobody read.

Change: (1) the voter manager waits for collection_period since this process runs, not since it leads: every controller hears of the others and of the agents all the time, whoever leads. (2) controller_timeout follows from sync_time_s (CorePolicy::with_sync_time): 2 s are kept for the two changes of voters, and a controller is never given up before it is suspected (1.5 s) nor later than 2.5 s as before; 2 s at sync_time_s = 4. Nothing that must never happen rests on any of these spans: a change of voters is agreed on as before, after all maps are recovered under the voters before, and carries the guard of its term.

--- a/crates/caperworks/src/policy.rs
+++ b/crates/caperworks/src/policy.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::instances::INSTANCE_TIMEOUT;
+use crate::leadership::SUSPICION_TIMEOUT;
 use crate::members::MEMBER_TIMEOUT;
 use crate::ownership::OwnerManagerTimings;
 use crate::reduced_map::FeedForm;
@@ -69,7 +70,23 @@
     }
 }
 
+/// Time for the changes of voters after a lost controller has timed out: it is removed and its successor added,
+/// each after the recovery of all maps.
+const VOTER_CHANGE_TIME: Duration = Duration::from_secs(2);
+/// A controller that restarts within this time need not be replaced, if there is time enough.
+const MAX_CONTROLLER_TIMEOUT: Duration = Duration::from_millis(2500);
+
 impl CorePolicy {
+    /// Sets the time within which the successor of a lost controller must be a voter.
+    ///
+    /// It counts from the start of the successor. A controller is never lost before others suspect it.
+    pub fn with_sync_time(mut self, sync_time: Duration) -> Self {
+        self.controller_timeout = sync_time
+            .saturating_sub(VOTER_CHANGE_TIME)
+            .clamp(SUSPICION_TIMEOUT, MAX_CONTROLLER_TIMEOUT);
+        self
+    }
+
     /// Returns the form in which agents follow the maps: complete if one of them may become a witness.
     pub fn agents_feed_form(&self) -> FeedForm {
         match self.witness_voters {
--- a/crates/controller/src/leadership/voter_management.rs
+++ b/crates/controller/src/leadership/voter_management.rs
@@ -36,8 +36,12 @@
 }
 
 /// Proposes the next voter change if one is due, and otherwise the next change of the fallback members.
+///
+/// Every controller hears of the other controllers and of the agents all the time, whoever leads. So a new
+/// leader waits for them only if it has not run for long.
 pub(super) fn manage_voters(state: &mut ControllerState, epoch: Epoch, leading_for: Duration) {
-    if leading_for < state.options.core.collection_period
+    let running_for = state.now.saturating_sub(state.running_since);
+    if running_for < state.options.core.collection_period
         || state.has_proposal_in_flight(&ProposalOrigin::VoterManagement)
         || !state.is_current(MapName::Membership)
     {
