A stopping controller gives its vote to a successor that keeps up

What callers saw: after a planned replacement (the new machine first, then SIGTERM) or a stop for good, the stopped controller stayed a voter until it had been silent for controller_timeout; a disk lost in that time left no majority.

Cause: nothing told the others that a controller stops, so its silence had to be waited out; and its own stop did not wait for its vote, only for its roles and its state.

Change: answers to quorum reads say that the sender is shutting down (absent otherwise, so the bytes of all other answers stay). The voter manager treats such a voter as lost at once, if a candidate can replace it; without one nothing changes, as in a rolling restart of the only controllers. A stopping controller is no candidate, and waits, within its 5 s as before, until its successor has the vote. A restarted one is no longer marked with its first answer.

Safety: each step is the change of voters as before, one voter at a time, after all maps are recovered. Tests: stopping_controller_gives_its_vote_to_its_successor and configuration_is_read_back_after_second_loss_across_regions, both failed before; restarted_controller_without_spare_keeps_its_vote.

--- a/crates/agent/src/witness.rs
+++ b/crates/agent/src/witness.rs
@@ -62,6 +62,7 @@
             versions: voter.highest_possible(),
             // A witness has no disk.
             synced: None,
+            shutting_down: None,
         };
         outputs.push(AgentOutput::Send { to: from, message });
     }
--- a/crates/caperworks/src/messages.rs
+++ b/crates/caperworks/src/messages.rs
@@ -141,7 +141,8 @@
         0 ConsensusMessage { 0 message: ConsensusMessage },
         1 QuorumReadRequest { 0 number: u64 },
         /// The versions in memory, which count for reads and leases, and the versions that are synced to disk.
-        2 QuorumReadResponse { 0 number: u64, 1 versions: Vec<Version>, 2 synced: Option<Vec<Version>> },
+        /// `shutting_down` is set once the sender has begun a graceful shutdown.
+        2 QuorumReadResponse { 0 number: u64, 1 versions: Vec<Version>, 2 synced: Option<Vec<Version>>, 3 shutting_down: Option<bool> },
         3 SeedRequest { 0 zone: Zone, 1 founded: bool },
         4 SeedResponse { 0 zone: Zone, 1 founded: bool },
         5 FoundingRequest { 0 founding: Founding },
--- a/crates/caperworks/tests/wire_bytes.rs
+++ b/crates/caperworks/tests/wire_bytes.rs
@@ -692,6 +692,7 @@
                 number: 61,
                 versions: vec![Version(17)],
                 synced: Some(vec![Version(16)]),
+                shutting_down: None,
             },
         ),
         (
--- a/crates/controller/src/consensus/quorum_reads.rs
+++ b/crates/controller/src/consensus/quorum_reads.rs
@@ -62,10 +62,20 @@
         number,
         versions,
         synced: Some(synced),
+        shutting_down: state.stopping_since.is_some().then_some(true),
     };
     state.send(reply_to, response);
 }
 
+/// Records whether a node has begun a graceful shutdown, so that its vote can be given to another.
+pub fn record_shutdown(state: &mut ControllerState, from: NodeId, shutting_down: Option<bool>) {
+    if shutting_down == Some(true) {
+        state.shutting_down.insert(from);
+    } else {
+        state.shutting_down.remove(&from);
+    }
+}
+
 /// Records which versions a node has, which decide whether it may become leader, and which of them it has
 /// synced to disk, which decide whether it may become a voter or receive a role in a handover.
 pub fn record_versions(
--- a/crates/controller/src/leadership/handover.rs
+++ b/crates/controller/src/leadership/handover.rs
@@ -1,8 +1,9 @@
-//! Handover of leadership roles and state before a graceful shutdown completes.
+//! Handover of leadership roles, of the vote and of state before a graceful shutdown completes.
 
 use std::time::Duration;
 
 use crate::leadership::own_changes::{propose_term, term_key};
+use crate::leadership::voter_candidates::controller_candidate;
 use crate::state::parts::ProposalOrigin;
 use crate::state::replicas::MAX_REPLICA_LAG;
 use crate::state::ControllerState;
@@ -59,6 +60,17 @@
         .min(others)
 }
 
+/// Returns whether another controller is about to take this one's place among the voters: until it has a vote, the
+/// next loss may leave no majority.
+pub fn is_handing_over_vote(state: &ControllerState) -> bool {
+    let Some(voters) = state.voters() else {
+        return false;
+    };
+    let others = other_controller_voters(state).count();
+    let is_needed = others < state.options.core.controller_voters;
+    is_needed && controller_candidate(state, voters).is_some()
+}
+
 fn other_controller_voters(state: &ControllerState) -> impl Iterator<Item = NodeId> + '_ {
     state
         .voters()
--- a/crates/controller/src/leadership/voter_candidates.rs
+++ b/crates/controller/src/leadership/voter_candidates.rs
@@ -22,7 +22,7 @@
 /// which agent happens to be up to date first.
 const MAX_WITNESS_MISSING_VERSIONS: u64 = 20;
 
-/// Returns the known controllers that are not voters.
+/// Returns the known controllers that are not voters and are not shutting down.
 pub(super) fn non_voters<'state>(
     state: &'state ControllerState,
     voters: &'state VoterSet,
@@ -31,6 +31,7 @@
         .known_controllers
         .iter()
         .filter(|(_, seen)| voters.entry(seen.node).is_none())
+        .filter(|(_, seen)| !state.shutting_down.contains(&seen.node))
 }
 
 /// Returns a live controller that is not a voter and keeps up with the changes: it has synced all maps to disk
--- a/crates/controller/src/leadership/voter_management.rs
+++ b/crates/controller/src/leadership/voter_management.rs
@@ -188,16 +188,17 @@
 }
 
 /// Removes a controller that is lost, without a timeout if another node responds at its address, since the
-/// old one cannot come back there. It is removed only if a candidate can replace it: until then its disk may
-/// still be needed for a majority.
+/// old one cannot come back there, or if it began a graceful shutdown. It is removed only if a candidate can
+/// replace it: until then its disk may still be needed for a majority.
 fn remove_lost_controller(state: &ControllerState, voters: &VoterSet) -> Option<VoterChange> {
     let timeout = state.options.core.controller_timeout;
     let lost = voters.entries.iter().find(|voter| {
         let has_timed_out = unreachable_for(state, voter.node) >= timeout;
-        voter.controller && (is_replaced(state, voter) || has_timed_out)
+        let is_stopping = state.shutting_down.contains(&voter.node);
+        voter.controller && (is_replaced(state, voter) || has_timed_out || is_stopping)
     })?;
     controller_candidate(state, voters)?;
-    let reason = format!("replacing lost controller {}", lost.node);
+    let reason = format!("replacing lost or stopping controller {}", lost.node);
     Some(without_voter(voters, lost.node, reason))
 }
 
--- a/crates/controller/src/state/mod.rs
+++ b/crates/controller/src/state/mod.rs
@@ -133,6 +133,8 @@
     pub ownership_role: OwnershipRole,
     /// The state of the voter management role.
     pub voter_management: VoterManagement,
+    /// Other controllers that began a graceful shutdown and have not responded since a restart.
+    pub shutting_down: BTreeSet<NodeId>,
     /// The versions that this controller had recently.
     pub recent_versions: RecentVersions,
     /// The versions that each node last reported as synced to its disk.
@@ -211,6 +213,7 @@
             solver: Solver::default(),
             ownership_role: OwnershipRole::default(),
             voter_management: VoterManagement::default(),
+            shutting_down: BTreeSet::new(),
             recent_versions: RecentVersions::default(),
             reported_synced_versions: BTreeMap::new(),
             majority_loss: MajorityLoss::default(),
--- a/crates/controller/src/state_machine/dispatch.rs
+++ b/crates/controller/src/state_machine/dispatch.rs
@@ -76,7 +76,9 @@
             number,
             versions,
             synced,
+            shutting_down,
         } => {
+            quorum_reads::record_shutdown(state, from, shutting_down);
             quorum_reads::record_versions(state, from, &versions, synced);
             quorum_reads::handle_response(state, from, reply_to, number, versions);
         }
--- a/crates/controller/src/state_machine/shutdown.rs
+++ b/crates/controller/src/state_machine/shutdown.rs
@@ -19,15 +19,17 @@
     state.record_versions();
 }
 
-/// Completes a graceful shutdown once no call is pending, this controller leads nothing, and enough other
-/// controllers have synced its state, or once the timeout has passed. Missing replicas are then logged.
+/// Completes a graceful shutdown once no call is pending, this controller leads nothing, no other is about to
+/// take its vote, and enough other controllers have synced its state, or once the timeout has passed.
+/// Missing replicas are then logged.
 pub(super) fn stop_when_done(state: &mut ControllerState) {
     let Some(since) = state.stopping_since else {
         return;
     };
     let replicas = handover::synced_replica_count(state);
     let needed = handover::required_replica_count(state);
-    let is_busy = has_unfinished_work(state) || replicas < needed;
+    let is_busy =
+        has_unfinished_work(state) || handover::is_handing_over_vote(state) || replicas < needed;
     if is_busy && state.now.saturating_sub(since) < SHUTDOWN_TIMEOUT {
         return;
     }
--- a/crates/controller/tests/fleet/replacements.rs
+++ b/crates/controller/tests/fleet/replacements.rs
@@ -388,6 +388,57 @@
     assert_read_back(&intervals_ms, &[0, 200, 500, 1000, 3500], None);
 }
 
+/// Guards against the same loss of the majority where one of the controllers is in another region.
+#[test]
+fn configuration_is_read_back_after_second_loss_across_regions() {
+    for distant in 0..3 {
+        assert_read_back(&[75, 300], &[0, 500], Some(distant));
+    }
+}
+
+/// Guards against a planned replacement after which the next loss, right after the stop, leaves no majority.
+#[test]
+fn stopping_controller_gives_its_vote_to_its_successor() {
+    for interval in CHANGE_INTERVALS_MS {
+        for lost in 0..3 {
+            let mut fleet = founded_fleet(700 + interval + lost as u64);
+            let mut changes = SteadyChanges::new(Duration::from_millis(interval));
+            let successor = fleet.add_controller(platform_policy());
+            changes.run(&mut fleet, SYNC_TIME);
+            fleet.handle_input(lost, ControllerInput::Shutdown);
+            let until = fleet.now + Duration::from_secs(2);
+            while fleet.now < until && !fleet.stopped.contains(&lost) {
+                changes.run(&mut fleet, STEP);
+            }
+            assert!(fleet.stopped.contains(&lost), "{interval} ms, {lost}");
+            fleet.stop(lost, true);
+            let others: Vec<usize> = (0..4).filter(|index| *index != lost).collect();
+            let node = node_of(&fleet, successor);
+            assert!(is_voter_at(&fleet, node, &others), "{interval} ms, {lost}");
+        }
+    }
+}
+
+/// Guards against a vote that is taken from a controller which only restarts.
+#[test]
+fn restarted_controller_without_spare_keeps_its_vote() {
+    for lost in 0..3 {
+        let mut fleet = founded_fleet(730 + lost as u64);
+        let node = node_of(&fleet, lost);
+        fleet.handle_input(lost, ControllerInput::Shutdown);
+        fleet.run(Duration::from_secs(1));
+        assert!(fleet.stopped.remove(&lost));
+        fleet.stop(lost, false);
+        fleet.run(Duration::from_secs(4));
+        fleet.start(lost);
+        fleet.run(Duration::from_secs(4));
+        assert!(is_voter_at(&fleet, node, &[0, 1, 2]));
+        let machine = fleet.nodes[(lost + 1) % 3].machine.as_ref();
+        let state = &machine.expect("the controller is running").state;
+        assert!(state.shutting_down.is_empty());
+    }
+}
+
 /// Guards against a shutdown that hands no role over because each change makes the others behind again.
 #[test]
 fn shutdown_completes_while_configuration_changes() {
