--- a/crates/caperworks/src/leadership.rs
+++ b/crates/caperworks/src/leadership.rs
@@ -21,9 +21,9 @@
 pub const VOTER_MANAGEMENT: &str = "seating";
 /// All leadership roles.
 pub const LEADERSHIPS: [&str; 3] = [SOLVER, OWNERSHIP, VOTER_MANAGEMENT];
-/// The roles in the order in which a controller requests them: until a lost voter is replaced, the next loss may
+/// The roles as a controller requests them, the most urgent first: until a lost voter is replaced, the next loss may
 /// leave no majority.
-pub const REQUEST_ORDER: [&str; 3] = [VOTER_MANAGEMENT, OWNERSHIP, SOLVER];
+pub const LEADERSHIPS_BY_URGENCY: [&str; 3] = [VOTER_MANAGEMENT, OWNERSHIP, SOLVER];
 
 /// A controller is suspected, and must not become leader, when no message from it has arrived for this
 /// long.
--- a/crates/controller/src/state/mod.rs
+++ b/crates/controller/src/state/mod.rs
@@ -27,7 +27,7 @@
 use caperworks::envelope_clock::EnvelopeClock;
 use caperworks::identifiers::{mix, ChangeId, NodeId, RandomSource, Version};
 use caperworks::instances::Instances;
-use caperworks::leadership::{LeadershipWatch, Liveness, REQUEST_ORDER};
+use caperworks::leadership::{LeadershipWatch, Liveness, LEADERSHIPS_BY_URGENCY};
 use caperworks::leases::{QuorumRead, QuorumReads, DRIFT_MARGIN, LEASE_DURATION};
 use caperworks::map_items::VoterSet;
 use caperworks::members::Members;
@@ -125,7 +125,7 @@
     /// Exchange of instance and member facts with other controllers.
     pub fact_exchange: FactExchange,
 
-    /// The state of each leadership role as seen by this controller, in the order of `REQUEST_ORDER`.
+    /// The state of each leadership role as seen by this controller, in the order of `LEADERSHIPS_BY_URGENCY`.
     pub leaderships: Vec<LeadershipWatch>,
     /// The placement solver, for the solver role.
     pub solver: Solver,
@@ -174,7 +174,9 @@
             .iter()
             .map(|name| Proposer::new(*name, incarnation, options.proposer.clone()))
             .collect();
-        let leaderships = REQUEST_ORDER.iter().map(|name| LeadershipWatch::new(name));
+        let leaderships = LEADERSHIPS_BY_URGENCY
+            .iter()
+            .map(|name| LeadershipWatch::new(name));
         let mut instances = Instances::default();
         instances.timeout = options.core.instance_timeout;
         instances.refresh_interval = options.core.heartbeat_refresh;
