Settle a membership by the voters' reports, not by proposals of its manager

Before each change of voters all maps were recovered by proposals of the voter manager: a majority had to promise at a moment at which it had accepted nothing that was not committed. While several controllers propose changes there is seldom such a moment, and each try takes the turn of another proposer. Logged: removal proposed 0.8 s after it was due, addition 0.9 s after the removal, the disk lost before it was decided.

Change: answers to quorum reads show it (consensus/settlement.rs). A voter that has synced the present membership never votes under an earlier one again, also not after a restart. Majorities of neighbouring memberships meet, so whatever was or will be decided under an earlier one is among the versions that a majority of such voters reports as possible. These are a fixed target; once a majority has synced it, the voters may be changed. While a change waits, the manager asks each 50 ms. Proposals remain for an undecided change, and for fleets with witnesses, which have no disk to report of.

Model check: the step with the production code, in the order in which controllers make it.

--- a/crates/caperworks/src/consensus/mod.rs
+++ b/crates/caperworks/src/consensus/mod.rs
@@ -16,4 +16,5 @@
 
 pub mod messages;
 pub mod proposer;
+pub mod settlement;
 pub mod voter;
--- a/crates/controller/src/consensus/quorum_reads.rs
+++ b/crates/controller/src/consensus/quorum_reads.rs
@@ -11,6 +11,7 @@
 use crate::consensus::snapshot_transfer;
 use crate::fault_injection::FaultInjection;
 use crate::state::ControllerState;
+use caperworks::consensus::settlement::VoterReport;
 use caperworks::identifiers::{NodeId, Version};
 use caperworks::leadership::MAX_LAG_PERIOD;
 use caperworks::map_items::VoterSet;
@@ -76,6 +77,20 @@
     }
 }
 
+/// Records a voter's report for the next change of voters. A witness reports nothing as synced.
+pub fn record_settlement(
+    state: &mut ControllerState,
+    from: NodeId,
+    possible: &[Version],
+    synced: Option<&[Version]>,
+) {
+    let synced = synced.unwrap_or_default();
+    let membership = state.voter.map(MapName::Membership);
+    let report = VoterReport { possible, synced };
+    let settlement = &mut state.voter_management.settlement;
+    settlement.handle_report(membership, from, report);
+}
+
 /// Records which versions a node has, which decide whether it may become leader, and which of them it has
 /// synced to disk, which decide whether it may become a voter or receive a role in a handover.
 pub fn record_versions(
--- a/crates/controller/src/fault_injection.rs
+++ b/crates/controller/src/fault_injection.rs
@@ -47,6 +47,8 @@
     UncheckedSnapshot,
     /// The next controller in line becomes leader even while it is behind.
     LeadsWhileBehind,
+    /// A controller becomes a voter only at a moment at which it has synced what the voter manager has then.
+    CandidatesNeedPresentVersions,
 }
 
 impl FaultInjection {
--- a/crates/controller/src/leadership/voter_candidates.rs
+++ b/crates/controller/src/leadership/voter_candidates.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::fault_injection::FaultInjection;
 use crate::state::parts::KnownController;
 use crate::state::replicas::MAX_REPLICA_LAG;
 use crate::state::ControllerState;
@@ -43,7 +44,11 @@
     state: &ControllerState,
     voters: &VoterSet,
 ) -> Option<VoterEntry> {
-    let required = state.versions_before(MAX_REPLICA_LAG);
+    let max_lag = match state.injects(FaultInjection::CandidatesNeedPresentVersions) {
+        true => Duration::ZERO,
+        false => MAX_REPLICA_LAG,
+    };
+    let required = state.versions_before(max_lag);
     non_voters(state, voters)
         .find(|(_, seen)| state.has_synced(seen.node, &required))
         .map(|(address, seen)| VoterEntry {
--- a/crates/controller/src/leadership/voter_management.rs
+++ b/crates/controller/src/leadership/voter_management.rs
@@ -2,7 +2,7 @@
 //!
 //! Invariants: a change adds or removes a single voter, so that every majority before it intersects every
 //! majority after it. It is proposed only if the live voters are a majority of the new set. All maps are
-//! recovered first, so that no change that the previous voters had partly accepted is lost.
+//! settled first, so that no change that the previous voters had partly accepted is lost.
 
 use std::time::Duration;
 
@@ -16,14 +16,16 @@
 use crate::state::ControllerState;
 use crate::state_machine::event::Event;
 use caperworks::consensus::proposer::ensure_recovered;
-use caperworks::identifiers::{Epoch, NodeId};
+use caperworks::identifiers::{Epoch, NodeId, Version};
 use caperworks::map_items::{Value, VoterEntry, VoterSet};
-use caperworks::replicated_map::{Change, MapName, FALLBACK_MEMBERS};
+use caperworks::replicated_map::{Change, MapName, ALL_MAPS, FALLBACK_MEMBERS};
 
 /// A witness that has not responded for this long is replaced: it has lost its state or is about to.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(4000);
 /// Interval between log lines about a voter change that cannot be made.
 const REJECTION_LOG_INTERVAL: Duration = Duration::from_secs(5);
+/// Interval between quorum reads while a change of voters waits for the voters' reports.
+const SETTLEMENT_READ_INTERVAL: Duration = Duration::from_millis(50);
 /// The key of the membership item that lists the voters.
 const VOTERS: &str = "seats";
 
@@ -56,7 +58,7 @@
     match next_change(state, &voters) {
         Some(change) if !has_live_majority(state, &change.next) => log_rejection(state, change),
         Some(change) => {
-            if recover_all_maps(state) {
+            if are_maps_settled(state) {
                 propose_voters(state, change);
             }
         }
@@ -104,6 +106,37 @@
     state.log_event(Event::VoterChangeRejected { why });
 }
 
+/// Returns whether nothing that the voters before may have decided is missing at the present ones.
+///
+/// The reports of the voters show it, which this controller requests more often until they do. They do not if
+/// the majority includes witnesses, which have no disk: then all maps are recovered by proposals.
+fn are_maps_settled(state: &mut ControllerState) -> bool {
+    let membership = state.map(MapName::Membership);
+    let settlement = &state.voter_management.settlement;
+    if settlement.is_settled(membership) {
+        return true;
+    }
+    let required = settlement.required(membership).map(<[Version]>::to_vec);
+    let has_witness = state
+        .voters()
+        .is_some_and(|voters| voters.entries.iter().any(|voter| !voter.controller));
+    let next_read = state.now + SETTLEMENT_READ_INTERVAL;
+    state.next_quorum_read_at = state.next_quorum_read_at.min(next_read);
+    commit_possible_changes(state, required.as_deref());
+    has_witness && recover_all_maps(state)
+}
+
+/// Requests the recovery of maps in which a change may be accepted and is not committed here.
+fn commit_possible_changes(state: &mut ControllerState, required: Option<&[Version]>) {
+    let own = state.versions();
+    for name in ALL_MAPS {
+        let index = name.index();
+        if required.is_some_and(|required| required[index] > own[index]) {
+            state.proposers[index].request_recovery();
+        }
+    }
+}
+
 /// Returns whether no map has an undecided change under the current voters, and requests the recovery of
 /// those that may have one.
 fn recover_all_maps(state: &mut ControllerState) -> bool {
--- a/crates/controller/src/state/parts.rs
+++ b/crates/controller/src/state/parts.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::state_machine::operator_messages::OperatorResponse;
+use caperworks::consensus::settlement::Settlement;
 use caperworks::identifiers::{Epoch, NodeId, Version, Zone};
 use caperworks::messages::Founding;
 use caperworks::ownership::OwnerManager;
@@ -96,6 +97,8 @@
     pub lost_since: BTreeMap<NodeId, Duration>,
     /// When a change that cannot be made was last logged.
     pub rejection_logged_at: Duration,
+    /// What the voters reported under the present membership.
+    pub settlement: Settlement,
     /// The epoch of the term in which this controller last managed the voters.
     pub epoch: Option<Epoch>,
     /// The controllers that are no voters although one is missing.
--- a/crates/controller/src/state_machine/dispatch.rs
+++ b/crates/controller/src/state_machine/dispatch.rs
@@ -79,6 +79,7 @@
             shutting_down,
         } => {
             quorum_reads::record_shutdown(state, from, shutting_down);
+            quorum_reads::record_settlement(state, from, &versions, synced.as_deref());
             quorum_reads::record_versions(state, from, &versions, synced);
             quorum_reads::handle_response(state, from, reply_to, number, versions);
         }
--- a/crates/model-check/src/bound.rs
+++ b/crates/model-check/src/bound.rs
@@ -25,6 +25,8 @@
         source: NodeId,
         map: MapName,
     },
+    /// A voter reports its versions to the manager.
+    Report { voter: NodeId },
     /// The voter management role checks whether the voters have to be changed.
     Manage,
 }
@@ -38,6 +40,8 @@
     VotesBeforeSync,
     /// The voters are changed before proposals that the previous voters have accepted are committed.
     SkipsRecovery,
+    /// The voters are changed before a majority has synced what the reports name as possible.
+    SettlesByFirstReports,
     /// A voter votes on proposals under any membership.
     VotesUnderAnyMembership,
     /// A read is served without a quorum read.
@@ -71,6 +75,8 @@
     pub membership_steps: Vec<MembershipStep>,
     /// How many proposals each configuration proposer may start.
     pub configuration_proposals: u8,
+    /// Whether reports of the voters show that the voters may be changed, instead of proposals of the manager.
+    pub settles_by_reports: bool,
     /// How many configuration proposals the manager may start, to recover accepted changes.
     pub recovery_proposals: u8,
     /// How many membership proposals the manager may start.
@@ -103,6 +109,7 @@
             writers: Vec::new(),
             manager: NodeId(1),
             membership_steps: Vec::new(),
+            settles_by_reports: false,
             configuration_proposals: 1,
             recovery_proposals: 0,
             membership_proposals: 0,
--- a/crates/model-check/src/node.rs
+++ b/crates/model-check/src/node.rs
@@ -7,6 +7,7 @@
 use crate::digest::{Digest, DigestWriter, Shared};
 use caperworks::consensus::messages::{ConsensusMessage, Record};
 use caperworks::consensus::proposer::{Proposer, ProposerOptions};
+use caperworks::consensus::settlement::Settlement;
 use caperworks::consensus::voter::Voter;
 use caperworks::identifiers::{NodeId, Version};
 use caperworks::leases::QuorumReads;
@@ -51,6 +52,8 @@
     pub membership_proposals: u8,
     /// The membership under which the manager last proposed a change of the voters.
     pub requested_under: Option<Version>,
+    /// What the voters reported to this node as the manager.
+    pub settlement: Settlement,
     pub quorum_reads: QuorumReads,
     pub quorum_reads_left: u8,
     /// The quorum read in progress, and the voters that have not responded to it.
@@ -116,6 +119,7 @@
             },
             membership_proposals: bound.membership_proposals,
             requested_under: None,
+            settlement: Settlement::default(),
             quorum_reads: QuorumReads::default(),
             quorum_reads_left: bound.quorum_reads,
             open_quorum_read: None,
@@ -139,6 +143,7 @@
         self.unsynced_rewrite = false;
         self.pending_replies.clear();
         self.requested_under = None;
+        self.settlement = Settlement::default();
         self.quorum_reads = QuorumReads::default();
         self.open_quorum_read = None;
         self.start_proposers(injected_bug);
@@ -192,6 +197,7 @@
         writer.add(&(self.configuration_proposals, self.membership_proposals));
         writer.add(&(
             self.requested_under,
+            &self.settlement,
             &self.quorum_reads,
             self.quorum_reads_left,
         ));
--- a/crates/model-check/src/scenarios.rs
+++ b/crates/model-check/src/scenarios.rs
@@ -75,6 +75,77 @@
     }
 }
 
+/// Like [`replacement`], but the first node leaves before the fourth joins, and reports of the voters show
+/// that the voters may be changed.
+pub fn reported_replacement() -> Bound {
+    Bound {
+        membership_steps: vec![
+            MembershipStep::Leave(NodeId(1)),
+            MembershipStep::Join(NodeId(4)),
+        ],
+        settles_by_reports: true,
+        recovery_proposals: 1,
+        membership_proposals: 2,
+        name: "reported replacement",
+        ..replacement()
+    }
+}
+
+fn report(voter: u64) -> ScriptStep {
+    ScriptStep::Report {
+        voter: NodeId(voter),
+    }
+}
+
+fn learn_configuration(node: u64, source: u64) -> ScriptStep {
+    ScriptStep::Learn {
+        node: NodeId(node),
+        source: NodeId(source),
+        map: MapName::Configuration,
+    }
+}
+
+/// The first node was removed after reports of the other two, but has not learned of it and still writes; the
+/// fourth joins once they have reported again.
+pub fn reported_addition() -> Bound {
+    Bound {
+        script: vec![
+            propose(1, MapName::Configuration, &[1, 2]),
+            report(2),
+            report(3),
+            learn_configuration(2, 1),
+            learn_configuration(3, 1),
+            report(2),
+            report(3),
+            ScriptStep::Manage,
+            propose(3, MapName::Membership, &[2, 3]),
+        ],
+        writers: nodes(&[1]),
+        configuration_proposals: 2,
+        restarts: 1,
+        name: "reported addition",
+        ..reported_replacement()
+    }
+}
+
+/// Like [`reported_addition`], but the change that the first two voters accepted has reached no other when the
+/// voters are to be changed: only with an injected bug they are.
+pub fn early_addition() -> Bound {
+    Bound {
+        script: vec![
+            propose(1, MapName::Configuration, &[1, 2]),
+            report(2),
+            report(3),
+            ScriptStep::Manage,
+            propose(3, MapName::Membership, &[2, 3]),
+        ],
+        writers: Vec::new(),
+        restarts: 0,
+        name: "early addition",
+        ..reported_addition()
+    }
+}
+
 /// The first node was removed, but has not learned of it; it and the new node compete for the next
 /// version.
 pub fn removed_writer() -> Bound {
@@ -168,6 +239,8 @@
         restarted_proposer(),
         reads(),
         replacement(),
+        reported_replacement(),
+        reported_addition(),
         wiped_disk(),
         removed_writer(),
         removed_reader(),
--- a/crates/model-check/src/world.rs
+++ b/crates/model-check/src/world.rs
@@ -10,10 +10,11 @@
 use crate::node::Node;
 use caperworks::consensus::messages::ConsensusMessage;
 use caperworks::consensus::proposer::ensure_recovered;
+use caperworks::consensus::settlement::{Settlement, VoterReport};
 use caperworks::consensus::voter::Voter;
 use caperworks::identifiers::{ChangeId, NodeId, Region, Version, Zone};
 use caperworks::map_items::{Value, VoterEntry, VoterSet, ZoneSettings};
-use caperworks::replicated_map::{Change, MapName, Put};
+use caperworks::replicated_map::{Change, MapName, Put, ALL_MAPS};
 
 mod actions;
 mod proposals;
@@ -40,6 +41,8 @@
     Learn { index: u8, source: u8, map: MapName },
     /// The voter management role checks whether the voters have to be changed.
     Manage,
+    /// A voter reports its versions to the manager.
+    Report { voter: u8 },
     /// A node loses its memory and restarts from its disk.
     Restart { index: u8 },
     /// A node loses its disk, and a new node replaces it.
@@ -172,6 +175,11 @@
                 let (node, source) = (index(self, *node), index(self, *source));
                 self.learn(bound, node, source, *map)
             }
+            ScriptStep::Report { voter } => {
+                let voter = index(self, *voter);
+                self.report(bound, voter);
+                Ok(())
+            }
             ScriptStep::Manage => {
                 self.manage(bound);
                 Ok(())
@@ -247,6 +255,7 @@
             Action::Sync { index } => world.sync(index)?,
             Action::Learn { index, source, map } => world.learn(bound, index, source, map)?,
             Action::Manage => world.manage(bound),
+            Action::Report { voter } => world.report(bound, voter),
             Action::Restart { index } => {
                 world.restarts -= 1;
                 world.change(index, |node| {
@@ -276,8 +285,10 @@
             let membership = node.voter.get().map(MapName::Membership);
             let version = membership.version;
             let expected = membership.item_version("seats");
-            let configuration = ensure_recovered(node.configuration.change(), version);
-            let is_recovered = ensure_recovered(node.membership.change(), version) && configuration;
+            let is_recovered = match bound.settles_by_reports {
+                true => is_settled(node, bound.injected_bug),
+                false => is_recovered(node, version),
+            };
             if is_recovered || bound.injected_bug == InjectedBug::SkipsRecovery {
                 let id = format!("voters-after-{version}");
                 let change = voters_change(&id, expected, entries);
@@ -289,6 +300,31 @@
         });
     }
 
+    /// Passes a voter's report to the manager, as an answer to a quorum read does.
+    fn report(&mut self, bound: &Bound, voter: u8) {
+        let Some(index) = self.index_of(bound.manager) else {
+            return;
+        };
+        let settlement = self.settlement_after_report(index, voter);
+        self.change(index, |node| node.settlement = settlement);
+    }
+
+    /// Returns what the manager knows after a voter's report.
+    fn settlement_after_report(&self, manager: u8, voter: u8) -> Settlement {
+        let node = self.node(manager);
+        let reporter = self.node(voter);
+        let synced = ALL_MAPS.map(|name| reporter.synced.get().map(name).version);
+        let possible = reporter.voter.get().highest_possible();
+        let report = VoterReport {
+            possible: &possible,
+            synced: &synced,
+        };
+        let membership = node.voter.get().map(MapName::Membership);
+        let mut settlement = node.settlement.clone();
+        settlement.handle_report(membership, reporter.id, report);
+        settlement
+    }
+
     fn wipe(&mut self, bound: &Bound, index: u8) {
         let id = self.change(index, |node| {
             node.is_running = false;
@@ -298,3 +334,27 @@
         self.add(Node::new(successor, Voter::default(), bound));
     }
 }
+
+/// Returns whether the reports show that the voters may be changed. If a change may be accepted that is not
+/// committed at the manager, its recovery is requested.
+fn is_settled(node: &mut Node, injected_bug: InjectedBug) -> bool {
+    let membership = node.voter.get().map(MapName::Membership);
+    let own_version = node.version(MapName::Configuration);
+    let required = node.settlement.required(membership);
+    let is_behind =
+        required.is_some_and(|versions| versions[MapName::Configuration.index()] > own_version);
+    let is_settled = match injected_bug {
+        InjectedBug::SettlesByFirstReports => required.is_some(),
+        _ => node.settlement.is_settled(membership),
+    };
+    if is_behind {
+        node.configuration.change().request_recovery();
+    }
+    is_settled
+}
+
+/// Returns whether both maps were recovered by proposals under this membership, and requests it if not.
+fn is_recovered(node: &mut Node, membership: Version) -> bool {
+    let configuration = ensure_recovered(node.configuration.change(), membership);
+    ensure_recovered(node.membership.change(), membership) && configuration
+}
--- a/crates/model-check/src/world/actions.rs
+++ b/crates/model-check/src/world/actions.rs
@@ -116,6 +116,23 @@
         });
         if is_due {
             actions.push(Action::Manage);
+            self.add_reports(bound, actions);
+        }
+    }
+
+    /// Adds the reports that tell the manager something new.
+    fn add_reports(&self, bound: &Bound, actions: &mut Vec<Action>) {
+        let Some(manager) = self.index_of(bound.manager) else {
+            return;
+        };
+        if !bound.settles_by_reports {
+            return;
+        }
+        let known = &self.node(manager).settlement;
+        for (voter, _) in self.running() {
+            if self.settlement_after_report(manager, voter) != *known {
+                actions.push(Action::Report { voter });
+            }
         }
     }
 
--- a/crates/model-check/tests/model_check.rs
+++ b/crates/model-check/tests/model_check.rs
@@ -3,8 +3,8 @@
 use model_check::bound::{Bound, InjectedBug};
 use model_check::invariants::Violation;
 use model_check::scenarios::{
-    race, reads, removed_reader, removed_writer, replacement_without_recovery, restarted_proposer,
-    slow_disks,
+    early_addition, race, reads, removed_reader, removed_writer, replacement_without_recovery,
+    reported_addition, restarted_proposer, slow_disks,
 };
 use model_check::search::{explore, Report};
 
@@ -56,6 +56,23 @@
     assert!(explore_fully(&slow_disks()).states > 50_000);
 }
 
+#[test]
+fn invariants_hold_when_reports_allow_a_change_of_voters() {
+    assert!(explore_fully(&reported_addition()).states > 500);
+}
+
+#[test]
+fn change_of_voters_after_first_reports_is_detected() {
+    let violation = find_violation(early_addition(), InjectedBug::SettlesByFirstReports);
+    assert!(
+        matches!(
+            violation,
+            Violation::AcceptedChangeCanBeLost { .. } | Violation::Disagreement { .. }
+        ),
+        "{violation:?}"
+    );
+}
+
 #[test]
 fn votes_before_sync_are_detected() {
     let violation = find_violation(slow_disks(), InjectedBug::VotesBeforeSync);
--- a/crates/simulator/src/day.rs
+++ b/crates/simulator/src/day.rs
@@ -135,17 +135,23 @@
     pub serves_stale: bool,
     pub synced_controllers: Option<usize>,
     pub witness_voters: Option<usize>,
+    /// The time within which the successor of a lost controller must be a voter.
+    pub sync_time: Option<Duration>,
 }
 
 impl DayPolicy {
     /// Returns the policy for the controllers.
     pub fn core(self) -> CorePolicy {
         let defaults = CorePolicy::default();
-        CorePolicy {
+        let core = CorePolicy {
             proxies_serve_stale: self.serves_stale,
             synced_controllers: self.synced_controllers.or(defaults.synced_controllers),
             witness_voters: self.witness_voters.unwrap_or(defaults.witness_voters),
             ..defaults
+        };
+        match self.sync_time {
+            Some(sync_time) => core.with_sync_time(sync_time),
+            None => core,
         }
     }
 }
@@ -168,6 +174,8 @@
     pub max_sync_time: Duration,
     /// Minimum percentage of all requests that must be served over the day.
     pub min_served_percent: u64,
+    /// Minimum number of changes that must be accepted over the day.
+    pub min_accepted: u64,
     /// Minimum percentage of each kind of ordinary traffic that must be served while a hot key, a
     /// surge or a slow instance lasts.
     pub min_kept_percent: u64,
@@ -290,10 +298,12 @@
             "disk_ms",
             "served_at_least",
             "kept_at_least",
+            "accepted_at_least",
             "heartbeats_to",
             "out_of_touch",
             "synced_ledgers",
             "witness_seats",
+            "sync_time_ms",
             "most_lag_ms",
             "lag_after_path_ms",
             "proxies_per_area",
@@ -426,6 +436,7 @@
             bulk_change_routes: number_field("swell", 0) as u32,
             max_sync_time: Duration::from_millis(number_field("disk_ms", 4)),
             min_served_percent: number_field("served_at_least", 50),
+            min_accepted: number_field("accepted_at_least", 1),
             min_kept_percent: number_field("kept_at_least", 0),
             max_lag: value["most_lag_ms"].as_u64().map(Duration::from_millis),
             lag_grace: Duration::from_millis(number_field("lag_after_path_ms", 0)),
@@ -440,6 +451,7 @@
                 serves_stale: value["out_of_touch"] == "serve-on",
                 synced_controllers: value["synced_ledgers"].as_usize(),
                 witness_voters: value["witness_seats"].as_usize(),
+                sync_time: value["sync_time_ms"].as_u64().map(Duration::from_millis),
             },
             heartbeats_to_controllers: value["heartbeats_to"] == "controllers",
             agents_ignore_missing_versions: false,
@@ -475,6 +487,13 @@
         if tally.accepted == 0 || tally.reads == 0 {
             problems.push("no change was accepted, or no read completed".to_string());
         }
+        if tally.accepted < self.min_accepted {
+            let wanted = self.min_accepted;
+            problems.push(format!(
+                "{} changes were accepted, not {wanted}",
+                tally.accepted
+            ));
+        }
         problems
     }
 
--- a/crates/simulator/tests/observers.rs
+++ b/crates/simulator/tests/observers.rs
@@ -81,6 +81,17 @@
     });
 }
 
+#[test]
+fn candidate_compared_with_present_versions_is_detected() {
+    assert_detected(
+        "second-loss-after-sync-time",
+        Invariant::NotRecovered,
+        |day| {
+            day.controller_fault = FaultInjection::CandidatesNeedPresentVersions;
+        },
+    );
+}
+
 #[test]
 fn request_in_closed_zone_is_detected() {
     assert_detected("zones-emptied", Invariant::ClosedZone, |day| {
