--- a/crates/simulator/src/observers/recovery.rs
+++ b/crates/simulator/src/observers/recovery.rs
@@ -13,7 +13,7 @@
 const RECOVERY_CHECK_SECONDS: u64 = 5;
 
 /// A change that is accepted sooner after a fault may have been decided before it.
-const MAX_ANSWER_TIME: Duration = Duration::from_secs(1);
+const MAX_RESPONSE_TIME: Duration = Duration::from_secs(1);
 
 /// A fault after which recovery is checked.
 #[derive(Debug, Clone, Copy)]
@@ -27,7 +27,7 @@
 impl Observers {
     /// Checks at the end of a day that a change was accepted within the limit after a fault.
     pub fn check_accepts_again(&mut self, fault_at: Duration) {
-        let in_time = fault_at + MAX_ANSWER_TIME..fault_at + RECOVERY_LIMIT;
+        let in_time = fault_at + MAX_RESPONSE_TIME..fault_at + RECOVERY_LIMIT;
         if !self.accepted_at.values().any(|at| in_time.contains(at)) {
             let details = format!("no change was accepted within {RECOVERY_LIMIT:?}");
             self.record_violation(Invariant::ChangesNotAccepted, fault_at, details);
