Acknowledge the begin of a warm-up once a majority of the voters has it

A heartbeat by which an instance turns cold was acknowledged from the memory of one controller. If that one was lost before the next exchange, the others went on with "warm" until the instance's next heartbeat, and proxies flooded it in good faith.

Such a heartbeat now waits for the voters like a drain, the other word that limits requests. Only the first heartbeat of a warm-up waits; without confirmations the instance calls another controller within 0.7 s, as with a drain.

Test: acknowledged_warm_up_survives_loss_of_controller failed without the change at the controllers' state machines (a mutant that waits for drains only), and finds the injected fault AcknowledgesWithoutQuorum.

--- a/crates/controller/src/instance_calls.rs
+++ b/crates/controller/src/instance_calls.rs
@@ -1,8 +1,9 @@
 //! Instances' calls: heartbeats, drains and deregistrations, and the conditions for acknowledging them.
 //!
 //! A call is acknowledged only while this controller has recent contact to a majority of the voters, so that
-//! a partitioned controller immediately sends its instances elsewhere. Drains and deregistrations are sent
-//! only once and must not be lost, so they are acknowledged after a majority of the voters has them.
+//! a partitioned controller immediately sends its instances elsewhere. What limits the requests that an instance
+//! may get must not be lost with one controller: a drain, the begin of a warm-up and a deregistration are
+//! acknowledged after a majority of the voters has them.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -11,6 +12,7 @@
 use crate::fault_injection::FaultInjection;
 use crate::leadership::ownership;
 use crate::state::ControllerState;
+use crate::state_machine::event::Event;
 use crate::state_machine::operator_messages::OperatorResponse;
 use caperworks::envelope_clock::Echo;
 use caperworks::facts::{Heartbeat, InstanceState, ReceivedHeartbeat};
@@ -22,7 +24,7 @@
 
 /// Time that a heartbeat waits for the owner manager's response.
 const OWNER_MANAGER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time that a drain or a deregistration waits for confirmations. Instances wait for at most one second.
+/// Time that a call waits for confirmations. Instances wait for at most one second.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// An instance's call that waits for other controllers before it gets a response.
@@ -56,10 +58,11 @@
     owner_manager: Option<SocketAddr>,
 }
 
-/// A fact that an instance sends only once and that other controllers must have.
+/// A fact that other controllers must have before it is acknowledged.
 #[derive(Debug, Clone)]
 enum Fact {
-    Draining(ReceivedHeartbeat),
+    /// A heartbeat that limits the requests that the instance may get.
+    Limit(ReceivedHeartbeat),
     Deregistered(InstanceId),
 }
 
@@ -92,6 +95,10 @@
         heartbeat,
         age: Duration::ZERO,
     };
+    let begins_warm_up = begins_warm_up(state, &received.heartbeat);
+    if begins_warm_up {
+        log_warm_up(state, &received.heartbeat);
+    }
     let response = record_heartbeat(state, received.clone(), age);
     if age.is_none() {
         acknowledge(state, ticket, response, Resend::WithStamp);
@@ -99,7 +106,7 @@
     }
     let is_draining = received.heartbeat.state == InstanceState::Draining;
     let requirements = Requirements {
-        confirmations: match is_draining {
+        confirmations: match is_draining || begins_warm_up {
             true => confirmations_needed(state),
             false => 0,
         },
@@ -107,7 +114,7 @@
     };
     let number = begin_call(state, ticket, requirements, response);
     if requirements.confirmations > 0 {
-        request_confirmations(state, number, Fact::Draining(received.clone()));
+        request_confirmations(state, number, Fact::Limit(received.clone()));
     }
     if let Some(to) = requirements.owner_manager {
         let ticket = number;
@@ -115,6 +122,26 @@
     }
 }
 
+/// Returns whether the instance is warming up by this heartbeat, and was not by the last one that is known.
+fn begins_warm_up(state: &ControllerState, heartbeat: &Heartbeat) -> bool {
+    let mut services = state.map(MapName::Configuration).services();
+    let service = services.find(|(name, _)| *name == heartbeat.service);
+    let warm_up_period = service.map_or(Duration::ZERO, |(_, service)| service.warm_up_period);
+    let known = state.instances.get(&heartbeat.id);
+    let was_warming_up = known.is_some_and(|known| {
+        known.incarnation == heartbeat.incarnation && known.is_warming_up(warm_up_period)
+    });
+    heartbeat.is_warming_up(warm_up_period) && !was_warming_up
+}
+
+fn log_warm_up(state: &mut ControllerState, heartbeat: &Heartbeat) {
+    state.log_event(Event::InstanceWarmingUp {
+        id: heartbeat.id.clone(),
+        left: heartbeat.warm_up_left,
+        counter: heartbeat.counter,
+    });
+}
+
 /// Deregisters an incarnation of an instance that reports its own end.
 pub fn handle_deregistration(state: &mut ControllerState, ticket: u64, id: InstanceId) {
     if !may_acknowledge(state) {
@@ -222,7 +249,7 @@
 /// Requests all other voters to store a fact.
 fn request_confirmations(state: &mut ControllerState, number: u64, fact: Fact) {
     let (heartbeat, ended) = match fact {
-        Fact::Draining(received) => (Some(received), None),
+        Fact::Limit(received) => (Some(received), None),
         Fact::Deregistered(id) => (None, Some(id)),
     };
     let voters = state.map(MapName::Membership).voter_addresses(false);
@@ -239,7 +266,7 @@
     }
 }
 
-/// Stores and confirms a drain or a deregistration that another controller is about to acknowledge.
+/// Stores and confirms a fact that another controller is about to acknowledge.
 ///
 /// Nothing is confirmed if its age is unknown: it may be from an instance that ended long ago.
 pub fn handle_confirmation_request(
--- a/crates/controller/src/state_machine/event.rs
+++ b/crates/controller/src/state_machine/event.rs
@@ -58,6 +58,15 @@
         /// The instance.
         id: InstanceId,
     },
+    /// An instance reported to this controller that it is warming up, which it was not by its last heartbeat.
+    InstanceWarmingUp {
+        /// The instance.
+        id: InstanceId,
+        /// For how much longer.
+        left: Duration,
+        /// The number of the heartbeat.
+        counter: u64,
+    },
     /// An agent or a directory was removed because it did not renew within its lifetime.
     MemberExpired {
         /// The ID of the node.
--- a/crates/controller/tests/fleet/main.rs
+++ b/crates/controller/tests/fleet/main.rs
@@ -437,18 +437,25 @@
         )
     }
 
-    fn is_draining(&self, index: usize, id: &str) -> bool {
+    fn known_heartbeat(&self, index: usize, id: &str) -> Option<&Heartbeat> {
         let state = &self.nodes[index]
             .machine
             .as_ref()
             .expect("the controller is running")
             .state;
-        state
-            .instances
-            .get(&InstanceId::new(id))
+        state.instances.get(&InstanceId::new(id))
+    }
+
+    fn is_draining(&self, index: usize, id: &str) -> bool {
+        self.known_heartbeat(index, id)
             .is_some_and(|heartbeat| heartbeat.state == InstanceState::Draining)
     }
 
+    fn is_warming_up(&self, index: usize, id: &str) -> bool {
+        self.known_heartbeat(index, id)
+            .is_some_and(|heartbeat| heartbeat.is_warming_up(Duration::ZERO))
+    }
+
     fn is_closed(&mut self, index: usize) -> bool {
         match self.read(index) {
             OperatorResponse::Configuration { map } => map.zones().any(|(_, zone)| zone.closed),
@@ -541,6 +548,36 @@
     assert!(lost, "the injected fault was not detected");
 }
 
+/// Returns whether the others know that an instance warms up again after the controller that acknowledged it was
+/// lost.
+fn warm_up_survives(fault: FaultInjection, notified_at: usize) -> bool {
+    let mut fleet = Fleet::founded_with_fault(230 + notified_at as u64, fault);
+    fleet.send_heartbeat(notified_at, heartbeat("one", 1));
+    fleet.run(Duration::from_millis(500));
+    let mut warming_up = heartbeat("one", 2);
+    warming_up.warm_up_left = Duration::from_secs(3);
+    let ticket = fleet.send_heartbeat(notified_at, warming_up);
+    assert!(fleet.is_acknowledged(ticket));
+    fleet.stop(notified_at, false);
+    (0..3)
+        .filter(|index| *index != notified_at)
+        .any(|index| fleet.is_warming_up(index, "one"))
+}
+
+#[test]
+fn acknowledged_warm_up_survives_loss_of_controller() {
+    for notified_at in 0..3 {
+        assert!(
+            warm_up_survives(FaultInjection::None, notified_at),
+            "warm-up at controller {notified_at}"
+        );
+    }
+    let lost = (0..3).any(|notified_at| {
+        !warm_up_survives(FaultInjection::AcknowledgesWithoutQuorum, notified_at)
+    });
+    assert!(lost, "the injected fault was not detected");
+}
+
 #[test]
 fn drain_at_newly_partitioned_controller_is_rejected_in_time() {
     let mut fleet = Fleet::founded(220);
--- a/crates/runtime/src/events.rs
+++ b/crates/runtime/src/events.rs
@@ -62,6 +62,7 @@
     218 Info CANDIDATE_WAITING "A controller is missing among the voters, and this one cannot become a voter yet: the line counts the reasons since the last one.";
     219 Info VOTERS_CHANGED "The membership has other voters; the line lists them.";
     220 Info KEY_RANGES_REASSIGNED "The owner manager proposes new owners for key ranges: the line says of whom, why they may have new owners, and what was left of the lease.";
+    221 Info INSTANCE_WARMING_UP "An instance reported to this controller that it is warming up, which it was not by its last heartbeat: the line says for how long, and the number of the heartbeat.";
     300 Info FRESH "The lease is valid, and the versions that it names are present.";
     301 Warn STALE "The lease has expired: the proxy rejects requests until it is renewed.";
     302 Warn PARTITION_FALLBACK_ENTERED "The controllers are unreachable; the responses of a majority of the agents keep this one fresh.";
@@ -71,6 +72,7 @@
     401 Warn NOT_READY "The proxy is not ready.";
     402 Warn RESPONSE_TRUNCATED "A response ended early after a part of it was forwarded; the client's connection was closed.";
     403 Info REUSED_CONNECTION_LOST "A request was lost on a reused connection; its outcome was reported as unknown, or it was retried if it was a read.";
+    404 Info SLOW_START_ENDED "The slow start of an instance that this proxy sent requests to has ended: the line counts them, and says how many a second it might send and why.";
     500 Info RUN_STEP "A step of a runbook or a drill.";
     501 Error RUN_FAILED "A step of a runbook or a drill failed.";
 }
