--- a/crates/local-fleet/src/verify.rs
+++ b/crates/local-fleet/src/verify.rs
@@ -3,10 +3,14 @@
 use std::collections::HashMap;
 use std::path::{Path, PathBuf};
 
-use anyhow::Context as AnyhowContext;
+use anyhow::{anyhow, Context as AnyhowContext};
 
 use crate::fleet::Fleet;
 use crate::probe;
+use crate::verify::slow_start::WarmUp;
+use runtime::scenario::Scenario;
+
+mod slow_start;
 
 /// One line of an instance's journal: a request that the instance ran.
 struct JournalEntry {
@@ -18,8 +22,15 @@
     instance: String,
 }
 
-fn read_journals(folder: &Path) -> anyhow::Result<Vec<JournalEntry>> {
-    let mut runs = Vec::new();
+/// What the instances recorded.
+#[derive(Default)]
+struct Journals {
+    runs: Vec<JournalEntry>,
+    warm_ups: Vec<WarmUp>,
+}
+
+fn read_journals(folder: &Path) -> anyhow::Result<Journals> {
+    let mut journals = Journals::default();
     for entry in std::fs::read_dir(folder)? {
         let path = entry?.path();
         if path.extension().is_none_or(|ending| ending != "journal") {
@@ -42,31 +53,44 @@
                     .find_map(|part| part.strip_prefix(name))
                     .unwrap_or_default()
             };
+            let time = |name: &str| field(name).parse().unwrap_or(0);
+            if parts.first() == Some(&"warm-up") {
+                journals.warm_ups.push(WarmUp {
+                    instance: instance.clone(),
+                    from: time("from="),
+                    to: time("to="),
+                });
+                continue;
+            }
             let (Some(request), Some(method)) = (parts.get(1), parts.get(2)) else {
                 continue;
             };
             let key_range = field("slice=").split_once('/').map(|(key_range, epoch)| {
                 (format!("{service}/{key_range}"), epoch.parse().unwrap_or(0))
             });
-            runs.push(JournalEntry {
+            journals.runs.push(JournalEntry {
                 request: (*request).to_string(),
                 write: *method != "GET",
                 key_range,
-                from: field("from=").parse().unwrap_or(0),
-                to: field("to=").parse().unwrap_or(0),
+                from: time("from="),
+                to: time("to="),
                 instance: instance.clone(),
             });
         }
     }
-    Ok(runs)
+    Ok(journals)
 }
 
 /// Verifies a run: no write ran twice or after it was reported as not run, each served request was run,
-/// no truncated request was run, and no key range had two owners at once.
+/// no truncated request was run, no key range had two owners at once, and no instance that was warming up got
+/// more requests than it takes.
 ///
 /// Prints the counts as JSON; a run without any record fails.
 pub fn verify_records(fleet: &Fleet, records: &[PathBuf]) -> anyhow::Result<bool> {
-    let runs = read_journals(&fleet.folder)?;
+    let Journals { runs, warm_ups } = read_journals(&fleet.folder)?;
+    let scenario = Scenario::read(&fleet.scenario)
+        .map_err(|faults| anyhow!("cannot read the scenario: {faults:?}"))?;
+    let floods = slow_start::count_floods(&runs, &warm_ups, &slow_start::limits_of(&scenario));
     let mut reported: HashMap<String, String> = HashMap::new();
     for record in records {
         let text = std::fs::read_to_string(record)
@@ -118,7 +142,8 @@
         .filter(|entry| entry.request == probe::TRUNCATED_REQUEST_ID)
         .count();
     let passed =
-        truncated_runs + ran_twice + ran_after_not_run + served_without_run + overlaps == 0;
+        truncated_runs + ran_twice + ran_after_not_run + served_without_run + overlaps + floods
+            == 0;
     let json = jzon::object! {
         orders_told: reported.len(),
         runs: runs.len(),
@@ -128,6 +153,8 @@
         served_without_a_run: served_without_run,
         two_owners_at_once: overlaps,
         half_orders_run: truncated_runs,
+        warm_ups: warm_ups.len(),
+        warm_ups_flooded: floods,
         good: passed,
     };
     println!("{}", json.pretty(2));
--- a/crates/local-fleet/src/verify_tests.rs
+++ b/crates/local-fleet/src/verify_tests.rs
@@ -5,6 +5,9 @@
 use crate::fleet::Fleet;
 use crate::verify::verify_records;
 
+/// Its services are records and evidence.
+const SCENARIO: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../scenarios/small.json");
+
 /// Verifies the given journals and record.
 fn passes_verification(name: &str, journals: &[(&str, &str)], record: &str) -> bool {
     let folder =
@@ -17,7 +20,7 @@
     std::fs::write(&record_path, record).expect("a record");
     let fleet = Fleet {
         folder: folder.clone(),
-        scenario: PathBuf::new(),
+        scenario: PathBuf::from(SCENARIO),
         processes: Vec::new(),
     };
     let passed = verify_records(&fleet, &[record_path]).expect("it can be verified");
@@ -82,3 +85,30 @@
         "a run without a record must not pass"
     );
 }
+
+/// Returns the journal of an instance of records that begins to warm up and gets requests a tenth of a second apart,
+/// so many at each moment.
+fn warm_up_journal(requests_at_a_time: u32) -> String {
+    let mut lines = "warm-up from=10000 to=13000\n".to_string();
+    for moment in 0..40 {
+        for number in 0..requests_at_a_time {
+            let from = 9000 + moment * 100;
+            lines += &format!(
+                "ran r{moment}-{number} GET /x key= slice=- digest=0 from={from} to={}\n",
+                from + 5
+            );
+        }
+    }
+    lines + &journal_line("a", "-", 20_000, 20_010)
+}
+
+#[test]
+fn instance_flooded_while_it_warms_up_fails_verification() {
+    // Twelve a second are its rate, so 23 in one second are allowed.
+    for (requests_at_a_time, passes) in [(2, true), (3, false)] {
+        let journal = warm_up_journal(requests_at_a_time);
+        let name = format!("flood-{requests_at_a_time}");
+        let passed = passes_verification(&name, &[("records-1", &journal)], "a served\n");
+        assert_eq!(passed, passes, "{requests_at_a_time} at a time");
+    }
+}
--- a/crates/runtime/src/http.rs
+++ b/crates/runtime/src/http.rs
@@ -18,7 +18,7 @@
 pub use self::client::{Fetch, FetchError, Fetched};
 pub use self::headers::{
     DEADLINE_HEADER, EPOCH_HEADER, INCARNATION_HEADER, INSTANCE_HEADER, KEY_RANGE_HEADER,
-    LOAD_HEADER, OUTCOME_HEADER, REQUEST_HEADER,
+    LOAD_HEADER, OUTCOME_HEADER, REQUEST_HEADER, WARM_UP_LEFT_HEADER,
 };
 pub use self::response::{json_response, ready_response, usage_json, BoxedResponse};
 pub use self::server::{serve_http, Peer};
--- a/crates/runtime/src/http/headers.rs
+++ b/crates/runtime/src/http/headers.rs
@@ -14,5 +14,7 @@
 pub const DEADLINE_HEADER: &str = "caperworks-deadline-ms";
 /// Response header: the load of the instance, as in its heartbeats.
 pub const LOAD_HEADER: &str = "caperworks-load";
+/// Response header of a health check: how much longer the instance is warming up, in milliseconds.
+pub const WARM_UP_LEFT_HEADER: &str = "caperworks-warm-up-left-ms";
 /// Request and response header: the id of the request.
 pub const REQUEST_HEADER: &str = "caperworks-order";
--- a/crates/runtime/src/http/heartbeats.rs
+++ b/crates/runtime/src/http/heartbeats.rs
@@ -28,6 +28,7 @@
         },
         load: heartbeat.load,
         up_ms: heartbeat.uptime.as_millis() as u64,
+        warm_up_left_ms: heartbeat.warm_up_left.as_millis() as u64,
         holding: heartbeat.key_ranges_in_use.clone(),
         let_go: heartbeat
             .released
@@ -145,6 +146,15 @@
     })
 }
 
+/// Reads how much longer the instance is warming up; not at all if it does not say so.
+fn read_warm_up_left(value: &JsonValue) -> Result<Duration, HeartbeatError> {
+    let millis = match value["warm_up_left_ms"].is_null() {
+        true => 0,
+        false => read_number(value, "warm_up_left_ms")?,
+    };
+    Ok(Duration::from_millis(millis))
+}
+
 /// Reads a heartbeat. The fields are read in this order, so the first invalid one is named in the error.
 fn read(value: &JsonValue) -> Result<Heartbeat, HeartbeatError> {
     let state = read_state(value)?;
@@ -165,7 +175,7 @@
         uptime: Duration::from_millis(read_number(value, "up_ms")?),
         key_ranges_in_use,
         released: let_go,
-        warm_up_left: Duration::ZERO,
+        warm_up_left: read_warm_up_left(value)?,
     })
 }
 
--- a/crates/test-instance/src/main.rs
+++ b/crates/test-instance/src/main.rs
@@ -29,7 +29,7 @@
 use runtime::http::{
     full_body, heartbeats, json_response, read_limited_body, serve_http, Body, Fetch,
     DEADLINE_HEADER, EPOCH_HEADER, INCARNATION_HEADER, INSTANCE_HEADER, KEY_RANGE_HEADER,
-    LOAD_HEADER, OUTCOME_HEADER, REQUEST_HEADER,
+    LOAD_HEADER, OUTCOME_HEADER, REQUEST_HEADER, WARM_UP_LEFT_HEADER,
 };
 use runtime::locks::locked;
 use runtime::options::read_flags;
@@ -37,6 +37,8 @@
 const HELP: &str =
     "Simulated instance: sends heartbeats, runs requests, and records the requests it ran";
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// The path of health checks.
+const HEALTH_PATH: &str = "/health";
 const MAX_BODY_BYTES: usize = 128 * 1024 * 1024;
 
 #[derive(Debug, Clone)]
@@ -106,13 +108,17 @@
     .descr(HELP)
 }
 
-/// The faults to inject, each with the number of requests that it still applies to.
+/// The faults to inject; most with the number of requests that each still applies to.
 #[derive(Default)]
 struct InjectedFaults {
     lost_responses: AtomicU32,
     mismatched_responses: AtomicU32,
     truncated_responses: AtomicU32,
     rejected_requests: AtomicU32,
+    /// Until when it is warming up again.
+    warming_up_until: Mutex<Duration>,
+    /// Makes the next heartbeat go out at once.
+    heartbeat_due: tokio::sync::Notify,
 }
 
 struct TestInstance {
@@ -168,10 +174,40 @@
             uptime,
             key_ranges_in_use,
             released,
-            warm_up_left: Duration::ZERO,
+            warm_up_left: self.warm_up_left(),
         }
     }
 
+    /// Returns how much longer it is warming up again.
+    fn warm_up_left(&self) -> Duration {
+        let until = *locked(&self.injected_faults.warming_up_until);
+        until.saturating_sub(self.clock.now())
+    }
+
+    /// Begins to warm up again, and reports it at once.
+    fn start_warm_up(&self, duration: Duration) {
+        *locked(&self.injected_faults.warming_up_until) = self.clock.now() + duration;
+        let from = wall_clock_ms();
+        self.record(&format!(
+            "warm-up from={from} to={}",
+            from + duration.as_millis()
+        ));
+        self.injected_faults.heartbeat_due.notify_one();
+    }
+
+    /// Responds to a health check: who it is, and how much longer it is warming up.
+    fn health(&self) -> Response<Body> {
+        let mut response = json_response(200, &jzon::object! { healthy: true });
+        let headers = response.headers_mut();
+        if let Ok(id) = HeaderValue::from_str(&self.flags.id) {
+            headers.insert(INSTANCE_HEADER, id);
+        }
+        headers.insert(INCARNATION_HEADER, HeaderValue::from(self.incarnation.0));
+        let warm_up_left = self.warm_up_left().as_millis() as u64;
+        headers.insert(WARM_UP_LEFT_HEADER, HeaderValue::from(warm_up_left));
+        response
+    }
+
     /// Sends a heartbeat to an agent, and a second one at once if the agent had no echoed stamp to determine
     /// the age of the first.
     async fn send_heartbeat(&self, agent: SocketAddr) -> bool {
@@ -215,7 +251,10 @@
         let mut ticker = tokio::time::interval(HEARTBEAT_INTERVAL);
         ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
-            ticker.tick().await;
+            tokio::select! {
+                _ = ticker.tick() => {}
+                () = self.injected_faults.heartbeat_due.notified() => {}
+            }
             // At most four agents are tried, each once; if all fail, the heartbeat waits for the next tick.
             for _ in 0..self.flags.agents.len().min(4) {
                 if self.send_heartbeat(self.flags.agents[index]).await {
@@ -249,6 +288,9 @@
         if path == "/understudy/ail" {
             return Ok(self.inject_fault(request).await);
         }
+        if path == HEALTH_PATH {
+            return Ok(self.health());
+        }
         let header = |name: &str| {
             request
                 .headers()
@@ -393,8 +435,12 @@
             Some("garbage") => &self.injected_faults.mismatched_responses,
             Some("truncate") => &self.injected_faults.truncated_responses,
             Some("refuse") => &self.injected_faults.rejected_requests,
+            Some("warm-up") => {
+                self.start_warm_up(Duration::from_millis(count.into()));
+                return json_response(200, &jzon::object! { count: count });
+            }
             _ => {
-                let reason = "kind must be lose-answers, garbage, truncate or refuse";
+                let reason = "kind must be lose-answers, garbage, truncate, refuse or warm-up";
                 return json_response(400, &jzon::object! { why: reason });
             }
         };
