A report that an instance is warm ends, and few proxies send to a warming one

Causes, one class: what permits has no end, and what limits comes late or is divided wrongly. (a) A proxy out of reach of the controllers went on with the last "warm" for ever. Reports count as current for 1.2 s now, from when a controller with a majority had sent all that it knew; not from a grant that holds a part, nor from one of a controller that is still collecting heartbeats. Later, or once the instance is suspected, the proxy asks the instance's health path, on demand and never otherwise; "not cold" counts for half a second and for the proxy's share of what the instance takes in a second. Without an answer it gets its slow-start rate; without a health path all stays as it was. (b) Each of N proxies could spend a saved request in the same second. Of many proxies only a few send to one cold instance: as many as its tolerance bears, chosen by the instance's id and the proxy's position in the order of addresses, which the controllers report with the lease. The rate is shared among these. Found on the way: requests to a warm instance went on spending the bucket of its last slow start, so that an instance that turned cold again got nothing.

The simulator's check of cold instances gains the rule's second (requests that are answered 421 don't count, as the rule says); the check over 3 s stays.

--- a/crates/agent/src/proxy_calls.rs
+++ b/crates/agent/src/proxy_calls.rs
@@ -93,9 +93,19 @@
             configuration: follower.map(MapName::Configuration).version,
             ownership: follower.map(MapName::Ownership).version,
             slow_link_remaining: self.link.slow_link_remaining(now),
+            position: self.link.proxy_position(),
+            reports_left: Some(self.reports_left(now)),
         }
     }
 
+    /// Returns for how much longer the instances' reports count as current.
+    ///
+    /// During partition fallback no node receives all reports, and the members' own quorum keeps them fresh.
+    fn reports_left(&self, now: Duration) -> Duration {
+        let by_fallback = self.fallback_quorum.fresh_until().saturating_sub(now);
+        self.link.reports_left(now).max(by_fallback)
+    }
+
     /// Returns the owners of key ranges that announced their termination and may serve on, as draining.
     ///
     /// Nobody else may serve their key ranges before their leases are over.
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -135,6 +135,8 @@
                 deregistered: self.deregistered.clone(),
                 in_chunks: Vec::new(),
                 more: false,
+                position: None,
+                collecting_left: None,
             };
             outputs.extend(self.receive(now, Message::Grant { granted }));
         }
@@ -290,6 +292,8 @@
         deregistered: Vec::new(),
         in_chunks: Vec::new(),
         more: false,
+        position: None,
+        collecting_left: None,
     }
 }
 
@@ -463,6 +467,8 @@
         deregistered: Vec::new(),
         in_chunks: Vec::new(),
         more: false,
+        position: None,
+        collecting_left: None,
     };
     fixture.receive(millis(50), Message::Grant { granted });
 }
--- a/crates/agent/tests/serving_on.rs
+++ b/crates/agent/tests/serving_on.rs
@@ -145,6 +145,8 @@
             proxies: 1,
             in_chunks: Vec::new(),
             more: false,
+            position: None,
+            collecting_left: None,
         };
         self.receive(now, Message::Grant { granted });
     }
--- a/crates/caperworks/examples/dispatch.rs
+++ b/crates/caperworks/examples/dispatch.rs
@@ -102,6 +102,8 @@
         proxies: 12,
         configuration: Version(1),
         ownership: Version(0),
+        position: None,
+        reports_left: None,
     };
     let mut proxy_state = ProxyState::default();
     proxy_state.apply_view(Duration::ZERO, &view);
--- a/crates/caperworks/examples/route_change_cost.rs
+++ b/crates/caperworks/examples/route_change_cost.rs
@@ -54,6 +54,8 @@
         all_instances: false,
         slow_link_remaining: Duration::ZERO,
         suspected: Vec::new(),
+        position: None,
+        reports_left: None,
     }
 }
 
--- a/crates/caperworks/src/dispatch/choice.rs
+++ b/crates/caperworks/src/dispatch/choice.rs
@@ -165,9 +165,9 @@
         let proxies = proxy_state.proxies;
         // Instances in slow start come first when their rate admits a request: that is seldom the
         // case, and an instance that is never chosen never warms up.
-        let is_warming_up = |heartbeat: &Heartbeat| proxy_state.is_warming_up(heartbeat, service);
-        for heartbeat in tier.iter().filter(|heartbeat| is_warming_up(heartbeat)) {
-            if self.has_capacity(now, heartbeat, service, proxies)
+        for heartbeat in tier {
+            if self.is_in_slow_start(now, heartbeat, service, proxy_state)
+                && self.has_capacity(now, heartbeat, service, proxies)
                 && self.slow_start_admits(now, heartbeat, service, proxy_state)
             {
                 return Some(heartbeat);
@@ -178,7 +178,7 @@
         let mut best: Option<&Heartbeat> = None;
         for _ in 0..2 {
             let candidate = *tier.get(self.random_source.below(tier.len() as u64) as usize)?;
-            if is_warming_up(candidate)
+            if self.is_in_slow_start(now, candidate, service, proxy_state)
                 || !self.has_capacity(now, candidate, service, proxies)
                 || self.relative_load(now, candidate) > load_limit
             {
@@ -200,7 +200,7 @@
         (0..tier.len())
             .map(|offset| tier[(start + offset) % tier.len()])
             .find(|heartbeat| {
-                !is_warming_up(heartbeat)
+                !self.is_in_slow_start(now, heartbeat, service, proxy_state)
                     && self.has_capacity(now, heartbeat, service, proxies)
                     && self.relative_load(now, heartbeat) <= load_limit
             })
--- a/crates/caperworks/src/dispatch/instance_stats.rs
+++ b/crates/caperworks/src/dispatch/instance_stats.rs
@@ -2,24 +2,9 @@
 
 use std::time::Duration;
 
+use crate::dispatch::{HealthChecks, SlowStart};
 use crate::identifiers::Incarnation;
 
-/// A token bucket that starts at a random level, so that many proxies together neither start with a
-/// burst nor cause one when their buckets fill.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct SlowStartBucket {
-    pub(crate) tokens: f64,
-    pub(crate) filled_at: Duration,
-}
-
-impl SlowStartBucket {
-    pub(crate) fn fill(&mut self, now: Duration, rate_per_second: f64) {
-        let elapsed = now.saturating_sub(self.filled_at).as_secs_f64();
-        self.tokens = (self.tokens + elapsed * rate_per_second).min(1.0);
-        self.filled_at = now;
-    }
-}
-
 /// The state of one key of a keyed service, kept while it is in use.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct KeyStats {
@@ -46,5 +31,6 @@
     pub(crate) failures: u32,
     pub(crate) ejections: u32,
     pub(crate) ejected_until: Duration,
-    pub(crate) slow_start: Option<SlowStartBucket>,
+    pub(crate) slow_start: Option<SlowStart>,
+    pub(crate) health_checks: HealthChecks,
 }
--- a/crates/caperworks/src/dispatch/proxy_state.rs
+++ b/crates/caperworks/src/dispatch/proxy_state.rs
@@ -10,7 +10,7 @@
 use crate::feed::Follower;
 use crate::identifiers::{InstanceId, NodeId, Region, ServiceName, Version, Zone};
 use crate::map_items::{Route, Service, Value};
-use crate::messages::ProxyView;
+use crate::messages::{ProxyPosition, ProxyView};
 use crate::policy::ProxyPolicy;
 use crate::replicated_map::MapName;
 
@@ -24,6 +24,10 @@
     pub last_view: u64,
     /// Until when the agent guarantees that this state is fresh.
     pub fresh_until: Duration,
+    /// Until when the reports of the instances count as current.
+    pub reports_current_until: Duration,
+    /// The position of this proxy among all proxies, if the controllers report it.
+    pub position: Option<ProxyPosition>,
     /// Until when the agent attributes missing responses of the controllers to a slow link.
     pub link_slow_until: Duration,
     /// Whether the link of this machine is congested, as measured by the proxy.
@@ -118,6 +122,9 @@
         self.agent = view.agent;
         self.instances_offset = view.instances_offset;
         self.proxies = view.proxies.max(1);
+        self.position = view.position;
+        let reports_left = view.reports_left.unwrap_or(view.left);
+        self.reports_current_until = self.reports_current_until.max(polled_at + reports_left);
         let instances = &self.instances;
         self.maybe_warming_up.retain(|id, counter| {
             instances
--- a/crates/caperworks/src/dispatch/service_shard.rs
+++ b/crates/caperworks/src/dispatch/service_shard.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use crate::dispatch::{InstanceStats, KeyStats, ProxyState, RetryBudget, SlowStartBucket, Target};
+use crate::dispatch::{InstanceStats, KeyStats, RetryBudget, Target};
 use crate::facts::Heartbeat;
 use crate::identifiers::{InstanceId, RandomSource};
 use crate::map_items::Service;
@@ -32,6 +32,10 @@
     pub(crate) random_source: RandomSource,
     /// When the last ejection ends.
     pub(crate) last_ejection_ends: Duration,
+    /// When the last warm-up ends that a health check showed.
+    pub(crate) checked_warm_ups_end: Duration,
+    /// Whether requests wait for health checks.
+    pub(crate) needs_health_checks: bool,
     /// Only for fault injection in tests: ignores the limit per key.
     pub ignore_key_cap: bool,
     /// Only for fault injection in tests: an instance without heartbeats gets no requests even if
@@ -48,6 +52,8 @@
             budget: RetryBudget::default(),
             random_source: RandomSource::seeded(seed),
             last_ejection_ends: Duration::ZERO,
+            checked_warm_ups_end: Duration::ZERO,
+            needs_health_checks: false,
             ignore_key_cap: false,
             ignore_response_evidence: false,
         }
@@ -135,34 +141,6 @@
         }
     }
 
-    /// Returns whether the slow-start rate admits a request to an instance that is warming up.
-    pub(crate) fn slow_start_admits(
-        &mut self,
-        now: Duration,
-        heartbeat: &Heartbeat,
-        service: &Service,
-        proxy_state: &ProxyState,
-    ) -> bool {
-        // The rate is that of the instance and is shared by all proxies.
-        let rate = service.slow_start_rate() / f64::from(proxy_state.proxies.max(1));
-        let is_warming_up = proxy_state.is_warming_up(heartbeat, service);
-        // Buckets start with a random level: if all started empty they would all be full at the
-        // same time, and the proxies together would send in one second what the instance can take
-        // in several.
-        let initial_tokens = self.random_source.below(1_000_000) as f64 / 1_000_000.0;
-        let stats = self.stats_for(heartbeat);
-        if !is_warming_up {
-            stats.slow_start = None;
-            return true;
-        }
-        let bucket = stats.slow_start.get_or_insert(SlowStartBucket {
-            tokens: initial_tokens,
-            filled_at: now,
-        });
-        bucket.fill(now, rate);
-        bucket.tokens >= 1.0
-    }
-
     /// Returns the load of the instance in relation to its capacity.
     pub(crate) fn relative_load(&mut self, now: Duration, heartbeat: &Heartbeat) -> f64 {
         let stats = self.stats_for(heartbeat);
@@ -177,8 +155,8 @@
         load / f64::from(heartbeat.capacity.max(1))
     }
 
-    /// Starts an attempt at the target, and spends a slow-start token if the instance is warming
-    /// up.
+    /// Starts an attempt at a target that was chosen at the same time, and spends a slow-start token if
+    /// the target was chosen under slow start.
     pub fn begin_attempt(&mut self, now: Duration, target: &Target) {
         if let Some(stats) = self
             .instance_stats
@@ -186,9 +164,10 @@
             .filter(|stats| stats.incarnation == target.incarnation)
         {
             stats.in_flight += 1;
-            if let Some(bucket) = &mut stats.slow_start {
-                bucket.tokens -= 1.0;
+            if let Some(slow_start) = &mut stats.slow_start {
+                slow_start.record_request(now);
             }
+            stats.health_checks.record_request(now);
         }
         if let Some(key) = target.key {
             let stats = self.keys.entry(key).or_default();
--- a/crates/caperworks/src/link.rs
+++ b/crates/caperworks/src/link.rs
@@ -20,7 +20,7 @@
 use crate::link_figures::{LinkFigures, LinkReporter};
 use crate::members::Members;
 use crate::messages::ResponseExtent;
-use crate::messages::{Granted, Message, Renewal};
+use crate::messages::{Granted, Message, ProxyPosition, Renewal};
 use crate::poll_pacer::PollPacer;
 use crate::reduced_map::FeedForm;
 use crate::replicated_map::MapName;
@@ -32,6 +32,9 @@
 const MISSING_VERSION_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 /// For how long a reported number of proxies is taken into account.
 const PROXY_COUNT_WINDOW: Duration = Duration::from_secs(10);
+/// How long the instances' reports count as current after a controller with a quorum had sent all that it knew:
+/// a few renewals.
+const REPORT_VALIDITY: Duration = Duration::from_millis(1200);
 /// Switch to another controller when the current one has sent no useful response for this long, or for the
 /// measured timeout of the link if that is longer.
 const CONTROLLER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -91,6 +94,14 @@
     members: u64,
 }
 
+/// What a controller reported of the proxies.
+#[derive(Debug, Clone, Copy)]
+struct ReportedProxies {
+    received_at: Duration,
+    count: u32,
+    position: Option<ProxyPosition>,
+}
+
 /// A member's link to the control plane.
 #[derive(Debug, Clone)]
 pub struct CoreLink {
@@ -123,7 +134,7 @@
     /// Maps that are fetched in chunks because they are too large for a grant.
     catch_up: CatchUpReceiver,
     /// The numbers of proxies that were reported within `PROXY_COUNT_WINDOW`.
-    proxy_counts: VecDeque<(Duration, u32)>,
+    proxy_counts: VecDeque<ReportedProxies>,
     reporter: LinkReporter,
 }
 
@@ -343,10 +354,29 @@
     /// A limit may be divided among more proxies at once, but among fewer only later: a controller that has
     /// just started has not received heartbeats of all of them yet.
     pub fn proxy_count(&self) -> u32 {
-        let counts = self.proxy_counts.iter().map(|(_, proxies)| *proxies);
+        let counts = self.proxy_counts.iter().map(|reported| reported.count);
         counts.max().unwrap_or(0).max(1)
     }
 
+    /// Returns the position of this node's proxy among all proxies: the latest one among the most proxies that
+    /// were reported within `PROXY_COUNT_WINDOW`.
+    pub fn proxy_position(&self) -> Option<ProxyPosition> {
+        let positions = self.proxy_counts.iter();
+        positions
+            .filter_map(|reported| reported.position)
+            .max_by_key(|position| position.proxies)
+    }
+
+    /// Returns for how much longer the instances' reports count as current.
+    ///
+    /// A lease is no evidence of that: it is longer, and is granted with the first part of what is missing.
+    pub fn reports_left(&self, now: Duration) -> Duration {
+        self.facts_complete_at
+            .map_or(Duration::ZERO, |complete_at| {
+                (complete_at + REPORT_VALIDITY).saturating_sub(now)
+            })
+    }
+
     /// Applies a controller's response; returns the maps that advanced.
     pub fn handle_grant(
         &mut self,
@@ -388,9 +418,13 @@
         granted: &Granted,
     ) {
         let took = now.saturating_sub(sent_at);
-        self.proxy_counts.push_back((now, granted.proxies));
+        self.proxy_counts.push_back(ReportedProxies {
+            received_at: now,
+            count: granted.proxies,
+            position: granted.position,
+        });
         while self.proxy_counts.len() > 1
-            && now.saturating_sub(self.proxy_counts[0].0) >= PROXY_COUNT_WINDOW
+            && now.saturating_sub(self.proxy_counts[0].received_at) >= PROXY_COUNT_WINDOW
         {
             self.proxy_counts.pop_front();
         }
@@ -413,7 +447,7 @@
             instances: granted.instances_offset,
             members: granted.members_offset,
         };
-        if granted.has_quorum && !granted.more {
+        if granted.has_quorum && !granted.more && granted.collecting_left.is_none() {
             self.facts_complete_at = Some(sent_at);
         }
     }
--- a/crates/caperworks/src/members.rs
+++ b/crates/caperworks/src/members.rs
@@ -6,6 +6,7 @@
 use crate::facts::offset_before;
 use crate::facts::{first_facts_after, FactBatch, FactEntry, Member, ReceivedMember, Role};
 use crate::identifiers::NodeId;
+use crate::messages::ProxyPosition;
 
 /// A member that has not renewed its lease for this long is removed.
 pub const MEMBER_TIMEOUT: Duration = Duration::from_millis(3000);
@@ -141,6 +142,22 @@
         self.known.values().map(|entry| &entry.fact)
     }
 
+    /// Returns the position of a proxy among all known proxies, in the order of their addresses.
+    ///
+    /// An address remains when the process restarts, and a proxy counts until its lease is over, so that the
+    /// positions of the others change seldom.
+    pub fn position_of(&self, proxy: &Member) -> ProxyPosition {
+        let mut position = ProxyPosition {
+            index: 0,
+            proxies: 0,
+        };
+        for member in self.iter().filter(|member| member.role == Role::Proxy) {
+            position.proxies += 1;
+            position.index += u32::from(member.control < proxy.control);
+        }
+        position
+    }
+
     /// Returns the proxies that are ready for requests.
     pub fn ready_proxies(&self) -> impl Iterator<Item = &Member> {
         self.iter()
--- a/crates/caperworks/src/messages.rs
+++ b/crates/caperworks/src/messages.rs
@@ -96,6 +96,21 @@
         /// once.
         #[cbor(default)]
         12 more: bool,
+        /// The position of the member among the proxies; `None` for a directory.
+        13 position: Option<ProxyPosition>,
+        /// Set while the controller has not run for long enough to have received the heartbeats of all instances:
+        /// for how much longer.
+        14 collecting_left: Option<Duration>,
+    }
+
+    /// The position of a proxy among all proxies in the order of their addresses, by which limits are divided
+    /// that are too small for a share of each proxy.
+    #[derive(Copy, Eq)]
+    struct ProxyPosition {
+        /// How many proxies precede it.
+        0 index: u32,
+        /// The number of proxies.
+        1 proxies: u32,
     }
 
     /// The usage of one proxy in one hour for one route.
@@ -146,6 +161,10 @@
         10 slow_link_remaining: Duration,
         /// Those of the instances in this message that are suspected because of missing heartbeats.
         11 suspected: Vec<InstanceId>,
+        /// The position of the proxy among all proxies.
+        12 position: Option<ProxyPosition>,
+        /// For how much longer the instances' reports count as current. Earlier releases do not send it.
+        13 reports_left: Option<Duration>,
     }
 
     /// A message between two of our own processes.
@@ -168,7 +187,7 @@
         13 View { 0 view: ProxyView },
         14 FallbackRequest { 0 request: FallbackRequest },
         15 FallbackResponse { 0 response: FallbackResponse },
-        /// A drain or a deregistration, acknowledged once a majority of the voters has it.
+        /// A limiting heartbeat or a deregistration, acknowledged once a majority of the voters has it.
         16 ConfirmFact { 0 number: u64, 1 heartbeat: Option<ReceivedHeartbeat>, 2 ended: Option<InstanceId> },
         17 FactConfirmed { 0 number: u64 },
     }
--- a/crates/caperworks/src/policy.rs
+++ b/crates/caperworks/src/policy.rs
@@ -111,4 +111,43 @@
     /// Maximum lease duration, for operators who want changes to take effect sooner than
     /// [`LEASE_DURATION`](crate::leases::LEASE_DURATION) allows; `None` for that duration.
     pub lease_duration: Option<Duration>,
+    pub slow_start: SlowStartPolicy,
+}
+
+/// What an instance in slow start takes in one second from all proxies together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SlowStartPolicy {
+    /// Requests beyond its slow-start rate.
+    pub tolerance: u32,
+    /// Percent of its slow-start rate, on top of the rate.
+    pub overshoot_percent: u32,
+}
+
+impl Default for SlowStartPolicy {
+    fn default() -> Self {
+        Self {
+            tolerance: 4,
+            overshoot_percent: 25,
+        }
+    }
+}
+
+impl SlowStartPolicy {
+    /// Returns how many requests a proxy may send to an instance after a health check showed that it is not
+    /// warming up: its share of what the instance takes in a second if it begins to warm up right after.
+    pub fn requests_per_check(&self, rate_per_second: f64, proxies: u32) -> u32 {
+        let overshoot = rate_per_second * f64::from(self.overshoot_percent) / 100.0;
+        let limit = (rate_per_second + overshoot) as u32 + self.tolerance;
+        (limit / proxies.max(1)).max(1)
+    }
+
+    /// Returns how many proxies may send to one instance in slow start.
+    ///
+    /// Each of them may have saved one request, and all of these may come on top of the rate in the same
+    /// second. Half of the overshoot is left for requests that were sent over more than a second and arrive
+    /// within one.
+    pub fn max_senders(&self, rate_per_second: f64) -> u32 {
+        let overshoot = rate_per_second * f64::from(self.overshoot_percent) / 200.0;
+        (self.tolerance + overshoot as u32).max(1)
+    }
 }
--- a/crates/caperworks/tests/controller_search.rs
+++ b/crates/caperworks/tests/controller_search.rs
@@ -8,7 +8,7 @@
 use caperworks::identifiers::{Incarnation, InstanceId, NodeId, ServiceName, Version, Zone};
 use caperworks::instances::Instances;
 use caperworks::link::{CoreLink, Responder, SLOW_LINK_WINDOW, SLOW_RESPONSE_THRESHOLD};
-use caperworks::messages::{Granted, Message, Renewal, ResponseExtent};
+use caperworks::messages::{Granted, Message, ProxyPosition, Renewal, ResponseExtent};
 use caperworks::replicated_map::{MapName, ALL_MAPS};
 use caperworks::rtt_estimator::CORE_TIMEOUT;
 
@@ -91,6 +91,8 @@
         proxies: 1,
         in_chunks: Vec::new(),
         more: false,
+        position: None,
+        collecting_left: None,
     }
 }
 
@@ -223,6 +225,55 @@
     assert_eq!(renewal.facts_age, Some(next_at - started_at + STEP));
 }
 
+#[test]
+fn reports_are_current_only_after_all_facts_of_a_controller_that_has_collected_them() {
+    let mut link = new_link();
+    let (mut now, followed) = follow_controller(&mut link);
+    assert!(!link.reports_left(now).is_zero());
+    for offset in 10..20 {
+        let (polled_at, _, renewal) = next_renewal(&mut link, now);
+        now = polled_at + STEP;
+        let incomplete = match offset % 2 {
+            0 => Granted {
+                more: true,
+                ..grant(renewal.number, offset)
+            },
+            _ => Granted {
+                collecting_left: Some(millis(100)),
+                ..grant(renewal.number, offset)
+            },
+        };
+        link.handle_grant(now, responder(followed), &incomplete);
+    }
+    assert!(now < link.fresh_until(), "the lease is renewed");
+    assert_eq!(link.reports_left(now), Duration::ZERO);
+    let (polled_at, _, renewal) = next_renewal(&mut link, now);
+    link.handle_grant(
+        polled_at + STEP,
+        responder(followed),
+        &grant(renewal.number, 20),
+    );
+    assert_eq!(link.reports_left(polled_at), millis(1200));
+}
+
+#[test]
+fn position_among_proxies_is_the_latest_one_among_the_most() {
+    let mut link = new_link();
+    let (mut now, followed) = follow_controller(&mut link);
+    assert_eq!(link.proxy_position(), None);
+    for (index, proxies, expected) in [(3, 12, (3, 12)), (4, 12, (4, 12)), (0, 2, (4, 12))] {
+        let (polled_at, _, renewal) = next_renewal(&mut link, now);
+        now = polled_at + STEP;
+        let reported = Granted {
+            position: Some(ProxyPosition { index, proxies }),
+            ..grant(renewal.number, 30)
+        };
+        link.handle_grant(now, responder(followed), &reported);
+        let position = link.proxy_position().expect("it was reported");
+        assert_eq!((position.index, position.proxies), expected);
+    }
+}
+
 #[test]
 fn a_controller_that_cannot_be_reached_is_left_before_its_response_is_overdue() {
     let mut link = new_link();
--- a/crates/caperworks/tests/dispatch.rs
+++ b/crates/caperworks/tests/dispatch.rs
@@ -200,6 +200,8 @@
         proxies: 12,
         configuration: Version(1),
         ownership: Version(0),
+        position: None,
+        reports_left: None,
     };
     proxy_state.apply_view(Duration::ZERO, &view);
     proxy_state
@@ -463,6 +465,8 @@
         proxies: 12,
         configuration: Version(1),
         ownership: Version(0),
+        position: None,
+        reports_left: None,
     };
     state.apply_view(millis(200), &view(3, InstanceState::Draining));
     state.apply_view(millis(100), &view(2, InstanceState::Serving));
@@ -547,6 +551,8 @@
         proxies: 1,
         configuration: Version(1),
         ownership: Version(1),
+        position: None,
+        reports_left: None,
     }
 }
 
--- a/crates/caperworks/tests/facts.rs
+++ b/crates/caperworks/tests/facts.rs
@@ -332,6 +332,8 @@
         proxies: 1,
         configuration: Version(0),
         ownership: Version(0),
+        position: None,
+        reports_left: None,
     }
 }
 
@@ -408,6 +410,8 @@
             deregistered: Vec::new(),
             in_chunks: Vec::new(),
             more: false,
+            position: None,
+            collecting_left: None,
         };
         let responder = Responder {
             address: SocketAddr::from(([127, 0, 0, 1], 6000)),
--- a/crates/caperworks/tests/follower_catch_up.rs
+++ b/crates/caperworks/tests/follower_catch_up.rs
@@ -113,6 +113,8 @@
             proxies: 1,
             in_chunks,
             more,
+            position: None,
+            collecting_left: None,
         }
     }
 }
--- a/crates/caperworks/tests/instance_termination.rs
+++ b/crates/caperworks/tests/instance_termination.rs
@@ -145,6 +145,8 @@
         deregistered: Vec::new(),
         in_chunks: Vec::new(),
         more: false,
+        position: None,
+        collecting_left: None,
     }
 }
 
--- a/crates/caperworks/tests/route_changes.rs
+++ b/crates/caperworks/tests/route_changes.rs
@@ -78,6 +78,8 @@
         all_instances: true,
         slow_link_remaining: Duration::ZERO,
         suspected: Vec::new(),
+        position: None,
+        reports_left: None,
     }
 }
 
--- a/crates/caperworks/tests/suspected_instances.rs
+++ b/crates/caperworks/tests/suspected_instances.rs
@@ -124,6 +124,8 @@
                 .iter()
                 .map(|name| InstanceId::new(*name))
                 .collect(),
+            position: None,
+            reports_left: None,
         };
         self.proxy_state.apply_view(Duration::ZERO, &view);
     }
--- a/crates/controller/src/renewal.rs
+++ b/crates/controller/src/renewal.rs
@@ -9,7 +9,7 @@
 use caperworks::consensus::messages::ConsensusMessage;
 use caperworks::facts::{FactBatch, ReceivedHeartbeat, ReceivedMember, Role};
 use caperworks::leases::LEASE_DURATION;
-use caperworks::messages::{Granted, Message, Renewal, ResponseExtent};
+use caperworks::messages::{Granted, Message, ProxyPosition, Renewal, ResponseExtent};
 use caperworks::replicated_map::{MapName, ALL_MAPS};
 
 /// Responds to a follower's renewal with a grant: its lease, and the map, instance and member updates that it
@@ -68,6 +68,15 @@
     let mapping = state.map(MapName::Placement).mapping();
     let placed_proxies = mapping.map_or(0, |mapping| mapping.proxies);
     let proxies = placed_proxies.max(state.members.ready_proxies().count() as u32);
+    let position = (role == Role::Proxy).then(|| {
+        let known = state.members.position_of(member);
+        ProxyPosition {
+            proxies: known.proxies.max(proxies),
+            ..known
+        }
+    });
+    let collected_at = state.running_since + state.options.core.collection_period;
+    let collecting_left = collected_at.saturating_sub(now);
     let has_quorum = quorum_read.is_some();
     let (quorum_read_age, versions) = quorum_read.unwrap_or((LEASE_DURATION, Vec::new()));
     let granted = Granted {
@@ -84,6 +93,8 @@
         has_quorum,
         in_chunks,
         more: more || instances.more || members.more,
+        position,
+        collecting_left: (!collecting_left.is_zero()).then_some(collecting_left),
     };
     state.send(reply_to, Message::Grant { granted });
 }
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -201,7 +201,7 @@
 
     /// Returns whether the instance that rejected the request is another instance or incarnation
     /// than the target.
-    fn is_another_incarnation(&self, headers: &HeaderMap, target: &Target) -> bool {
+    pub(crate) fn is_another_incarnation(&self, headers: &HeaderMap, target: &Target) -> bool {
         let incarnation = self.protocol_adapter.incarnation.as_ref();
         let incarnation = incarnation.and_then(|name| header_text(headers, name.as_str()));
         let reported = self.protocol_adapter.instance_header.as_ref();
--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -44,6 +44,7 @@
                 was_ready = ready;
                 event(if ready { READY } else { NOT_READY }, "");
             }
+            request_handler.maintain_slow_starts();
             if !locked(&poll_tracker).may_poll(request_handler.clock.now()) {
                 continue;
             }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod error_response;
 pub mod forwarding;
 pub mod framing;
+pub mod health_checks;
 pub mod instance_connections;
 pub mod protocol_adapter;
 pub mod request_body;
--- a/crates/proxy/src/protocol_adapter.rs
+++ b/crates/proxy/src/protocol_adapter.rs
@@ -1,11 +1,13 @@
 //! Header names and conventions of the protocol between clients, the proxy and instances.
 
+use std::time::Duration;
+
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::StatusCode;
 
 use runtime::http::{
     DEADLINE_HEADER, EPOCH_HEADER, INCARNATION_HEADER, INSTANCE_HEADER, KEY_RANGE_HEADER,
-    LOAD_HEADER, OUTCOME_HEADER, REQUEST_HEADER,
+    LOAD_HEADER, OUTCOME_HEADER, REQUEST_HEADER, WARM_UP_LEFT_HEADER,
 };
 
 /// The names and formats that requests and responses use. It makes no decisions.
@@ -45,6 +47,11 @@
     pub reports_not_run: fn(StatusCode, &HeaderMap) -> bool,
     /// Returns the load that an instance reports with its response.
     pub load: fn(&HeaderMap) -> Option<u32>,
+    /// Header of a response to a health check with the identity of the instance.
+    pub health_identity: HeaderName,
+    /// Returns how much longer an instance says in a response to a health check that it is warming up; `None` if
+    /// that cannot be read.
+    pub warm_up_left: fn(&HeaderMap) -> Option<Duration>,
 }
 
 fn default_reports_not_run(status: StatusCode, headers: &HeaderMap) -> bool {
@@ -57,6 +64,18 @@
     headers.get(LOAD_HEADER)?.to_str().ok()?.parse().ok()
 }
 
+fn default_warm_up_left(headers: &HeaderMap) -> Option<Duration> {
+    let Some(millis) = headers.get(WARM_UP_LEFT_HEADER) else {
+        return Some(Duration::ZERO);
+    };
+    millis
+        .to_str()
+        .ok()?
+        .parse()
+        .ok()
+        .map(Duration::from_millis)
+}
+
 impl ProtocolAdapter {
     /// Returns the default protocol.
     pub fn native() -> Self {
@@ -80,6 +99,8 @@
             not_run_statuses: &[],
             reports_not_run: default_reports_not_run,
             load: default_load,
+            health_identity: name(INSTANCE_HEADER),
+            warm_up_left: default_warm_up_left,
         }
     }
 }
--- a/crates/proxy/src/request_handler.rs
+++ b/crates/proxy/src/request_handler.rs
@@ -138,20 +138,24 @@
             .clone()
     }
 
+    /// Returns the shards of all services that were used.
+    pub(crate) fn all_shards(&self) -> Vec<Arc<Mutex<ServiceShard>>> {
+        let shards = self
+            .shards
+            .read()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        shards.values().cloned().collect()
+    }
+
     /// Applies an update from the agent, and closes connections to instance incarnations that have
     /// ended.
     pub fn apply_view(&self, polled_at: Duration, view: &ProxyView) {
         let mut next = (*self.proxy_state()).clone();
         next.apply_view(polled_at, view);
         self.connections.retain_current(&next.instances);
-        let shards = self
-            .shards
-            .read()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
-        for shard in shards.values() {
-            locked(shard).keep_only(polled_at, &next.instances);
+        for shard in self.all_shards() {
+            locked(&shard).keep_only(polled_at, &next.instances);
         }
-        drop(shards);
         *self
             .proxy_state
             .write()
@@ -320,7 +324,11 @@
                     &service,
                     key.as_deref(),
                     &excluded,
-                )?;
+                );
+                if shard.needs_health_checks() {
+                    self.start_health_checks(&mut shard, &proxy_state);
+                }
+                let target = target?;
                 shard.begin_attempt(now, &target);
                 target
             };
--- a/crates/proxy/tests/answers.rs
+++ b/crates/proxy/tests/answers.rs
@@ -1,6 +1,8 @@
 //! Runs the real proxy over sockets against a hostile server: each client gets its own response,
 //! and a non-idempotent request runs at most once.
 
+#[path = "answers/health_checks.rs"]
+mod health_checks;
 mod support;
 
 use std::net::SocketAddr;
--- a/crates/proxy/tests/support/fixture.rs
+++ b/crates/proxy/tests/support/fixture.rs
@@ -109,6 +109,16 @@
     }
 }
 
+fn service() -> Service {
+    Service {
+        key_ranges: 4,
+        instance_cap: 1000,
+        key_cap: 1000,
+        slow_start_rate_milli: 1_000_000,
+        ..Service::default()
+    }
+}
+
 fn configuration() -> ReplicatedMap {
     let route = Route {
         host: "*".to_string(),
@@ -118,13 +128,7 @@
         body_limit: BODY_LIMIT,
         ..Route::default()
     };
-    let service = Service {
-        key_ranges: 4,
-        instance_cap: 1000,
-        key_cap: 1000,
-        slow_start_rate_milli: 1_000_000,
-        ..Service::default()
-    };
+    let service = service();
     let zone = ZoneSettings {
         region: Region::new("east"),
         closed: false,
@@ -193,7 +197,7 @@
     listener.local_addr().expect("the listener has an address")
 }
 
-/// Returns a view with exactly these instances; its lease is valid for [`LEASE`].
+/// Returns a view with exactly these instances, whose reports are not current; its lease is valid for [`LEASE`].
 pub fn view(number: u64, instances: Vec<Heartbeat>) -> ProxyView {
     ProxyView {
         agent: NodeId(1),
@@ -211,6 +215,32 @@
         proxies: 1,
         configuration: Version(1),
         ownership: Version(0),
+        position: None,
+        reports_left: Some(Duration::ZERO),
+    }
+}
+
+/// Returns a view with these instances, whose service has health checks and the slow-start rate of one request in
+/// four seconds.
+pub fn view_with_health_checks(number: u64, instances: Vec<Heartbeat>) -> ProxyView {
+    let service = Service {
+        health_path: "/health".to_string(),
+        slow_start_rate_milli: 250,
+        ..service()
+    };
+    let mut full_map = configuration();
+    full_map.apply(&Change {
+        id: ChangeId::new("health"),
+        puts: vec![put(format!("pool/{SERVICE}"), Value::Service { service })],
+        guards: Vec::new(),
+    });
+    ProxyView {
+        configuration: full_map.version,
+        updates: vec![ConsensusMessage::Snapshot {
+            map: MapName::Configuration,
+            full_map,
+        }],
+        ..view(number, instances)
     }
 }
 
--- a/crates/runtime/tests/outgoing_queue.rs
+++ b/crates/runtime/tests/outgoing_queue.rs
@@ -21,6 +21,8 @@
             proxies: 1,
             in_chunks: Vec::new(),
             more: false,
+            position: None,
+            collecting_left: None,
         },
     }
 }
--- a/crates/simulator/src/actors/instance.rs
+++ b/crates/simulator/src/actors/instance.rs
@@ -23,6 +23,13 @@
     pub from: Duration,
 }
 
+/// A warm-up of an instance that has run for a while, by its own clock.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct WarmUp {
+    pub since: Duration,
+    pub until: Duration,
+}
+
 /// An announced termination of an instance.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Deregistration {
@@ -45,6 +52,8 @@
     pub incarnation: Incarnation,
     pub counter: u64,
     pub draining: bool,
+    /// The last time that it began to warm up again.
+    pub warm_up: WarmUp,
     /// Its announced termination.
     pub deregistration: Option<Deregistration>,
     pub held_leases: HeldLeases,
@@ -86,6 +95,12 @@
         self.next_heartbeat = Duration::ZERO;
     }
 
+    /// Begins to warm up again, and reports it at once.
+    pub fn start_warm_up(&mut self, warm_up: WarmUp) {
+        self.warm_up = warm_up;
+        self.next_heartbeat = Duration::ZERO;
+    }
+
     /// Announces its termination, and sends no heartbeats any more.
     pub fn start_deregistration(&mut self) {
         self.deregistration.get_or_insert_default();
@@ -115,7 +130,7 @@
             uptime: now,
             key_ranges_in_use: self.held_leases.key_ranges_in_use(now),
             released: self.held_leases.released_epochs(),
-            warm_up_left: Duration::ZERO,
+            warm_up_left: self.warm_up.until.saturating_sub(now),
         }
     }
 }
--- a/crates/simulator/src/actors/proxy.rs
+++ b/crates/simulator/src/actors/proxy.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::actors::request::{
-    ClientRequest, InFlightRequest, InstanceResponse, ProxyAction, Stage,
+    ClientRequest, HealthCheck, InFlightRequest, InstanceResponse, ProxyAction, Stage,
 };
 use crate::observers::requests::ClientOutcome;
 use caperworks::dispatch::{
@@ -41,6 +41,8 @@
     NoBudget,
     /// Uses the full slow-start rate for itself.
     FullSlowStartRate,
+    /// Takes the last report that an instance is warm as current for ever.
+    TrustsOldReports,
     /// Sends requests outside their home region.
     IgnoresHome,
     /// Replaces a newer map by an older one.
@@ -72,6 +74,8 @@
     demand_at: Duration,
     /// Rejections delayed by a fault, and until when.
     delayed_rejections: VecDeque<(Duration, ProxyAction)>,
+    /// The health checks in flight.
+    health_checks: Vec<HealthCheck>,
     /// When its graceful shutdown began.
     pub stopping_since: Option<Duration>,
 }
@@ -79,6 +83,9 @@
 /// Time after which an attempt to connect to an instance has failed.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time after which a health check without a response has failed.
+const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// How long the daemon still accepts requests after a shutdown request.
 const SHUTDOWN_DRAIN: Duration = Duration::from_millis(2600);
 
@@ -107,11 +114,52 @@
             demand: Vec::new(),
             demand_at: Duration::ZERO,
             delayed_rejections: VecDeque::new(),
+            health_checks: Vec::new(),
             stopping_since: None,
         }
     }
 
     pub fn tick(&mut self, now: Duration) -> Vec<ProxyAction> {
+        let mut actions = self.poll_and_reject(now);
+        actions.extend(self.start_health_checks(now));
+        actions
+    }
+
+    /// Ends the health checks without a response, and starts those that are due.
+    fn start_health_checks(&mut self, now: Duration) -> Vec<ProxyAction> {
+        let (ended, in_flight): (Vec<HealthCheck>, Vec<HealthCheck>) =
+            std::mem::take(&mut self.health_checks)
+                .into_iter()
+                .partition(|check| now.saturating_sub(check.sent_at) >= HEALTH_CHECK_TIMEOUT);
+        self.health_checks = in_flight;
+        for check in ended {
+            self.health_checked(&check, None);
+        }
+        let mut actions = Vec::new();
+        for shard in self.shards.values_mut() {
+            for target in shard.begin_health_checks(now, &self.knowledge) {
+                let check = HealthCheck {
+                    target,
+                    sent_at: now,
+                };
+                self.health_checks.push(check.clone());
+                actions.push(ProxyAction::CheckHealth { check });
+            }
+        }
+        actions
+    }
+
+    /// Records what a health check showed.
+    pub fn health_checked(&mut self, check: &HealthCheck, warm_up_left: Option<Duration>) {
+        self.health_checks.retain(|other| {
+            other.sent_at != check.sent_at || other.target.instance != check.target.instance
+        });
+        if let Some(shard) = self.shards.get_mut(&check.target.service) {
+            shard.end_health_check(check.sent_at, &check.target, warm_up_left);
+        }
+    }
+
+    fn poll_and_reject(&mut self, now: Duration) -> Vec<ProxyAction> {
         let due = self
             .delayed_rejections
             .iter()
@@ -193,11 +241,15 @@
         }
         if self.fault == ProxyFault::FullSlowStartRate {
             view.proxies = 1;
+            view.position = None;
         }
         self.knowledge.apply_view(requested_at, &view);
         if self.fault == ProxyFault::IgnoresStaleness {
             self.knowledge.fresh_until = requested_at + Duration::from_secs(600);
         }
+        if self.fault == ProxyFault::TrustsOldReports {
+            self.knowledge.reports_current_until = Duration::MAX;
+        }
         if self.fault == ProxyFault::IgnoresClosed {
             self.knowledge.closed_zones.clear();
         }
--- a/crates/simulator/src/actors/request.rs
+++ b/crates/simulator/src/actors/request.rs
@@ -68,6 +68,9 @@
     Pull {
         message: Message,
     },
+    CheckHealth {
+        check: HealthCheck,
+    },
     /// The graceful shutdown is complete, and no request is in flight.
     Stopped,
     SetTimer {
@@ -76,6 +79,14 @@
     },
 }
 
+/// A health check of an instance.
+#[derive(Debug, Clone)]
+pub struct HealthCheck {
+    pub target: Target,
+    /// When it was sent, by the clock of the proxy.
+    pub sent_at: Duration,
+}
+
 /// The response of an instance.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum InstanceResponse {
--- a/crates/simulator/src/day.rs
+++ b/crates/simulator/src/day.rs
@@ -36,6 +36,8 @@
     Unfreeze,
     /// Instances start draining.
     Drain,
+    /// Instances begin to warm up again, for this long.
+    WarmUp(Duration),
     /// Instances announce their termination, send no more heartbeats, and serve on for a while.
     Deregister,
     /// Starts an instance of another service at the same address.
@@ -220,6 +222,7 @@
         "freeze" => FaultAction::Freeze,
         "wake" => FaultAction::Unfreeze,
         "leave" => FaultAction::Drain,
+        "warm-up" => FaultAction::WarmUp(Duration::from_millis(item["for_ms"].as_u64()?)),
         "deregister" => FaultAction::Deregister,
         "take-over" => FaultAction::ReuseAddress {
             service: item["pool"].as_str()?.to_string(),
@@ -323,6 +326,7 @@
             "late_ms",
             "doubled_per_thousand",
             "by_ms",
+            "for_ms",
             "bytes_per_second",
             "background_bytes_per_second",
             "queue_in_ms",
--- a/crates/simulator/src/observers/attempts.rs
+++ b/crates/simulator/src/observers/attempts.rs
@@ -31,6 +31,8 @@
     pub request: u64,
     pub instance: &'world Heartbeat,
     pub is_warming_up: bool,
+    /// Whether it is for this instance and incarnation: others are rejected, and do not count as work.
+    pub is_addressee: bool,
     pub service: &'world Service,
     pub route: &'world Route,
     pub region: &'world Region,
@@ -154,14 +156,21 @@
         let heartbeat = received.instance;
         let key = (heartbeat.id.clone(), heartbeat.incarnation);
         let window = self.slow_start_attempts.entry(key).or_default();
-        window.push_back(at);
+        window.push_back((at, received.is_addressee));
         while window
             .front()
-            .is_some_and(|first| at.saturating_sub(*first) > Duration::from_secs(3))
+            .is_some_and(|(first, _)| at.saturating_sub(*first) > Duration::from_secs(3))
         {
             window.pop_front();
         }
-        let limit = (received.service.slow_start_rate_milli / 1000) as usize * 3 * 5 / 4 + 6;
+        let in_last_second = window
+            .iter()
+            .filter(|(earlier, is_addressee)| {
+                *is_addressee && at.saturating_sub(*earlier) < Duration::from_secs(1)
+            })
+            .count();
+        let rate = (received.service.slow_start_rate_milli / 1000) as usize;
+        let limit = rate * 3 * 5 / 4 + 6;
         if window.len() > limit {
             let details = format!(
                 "{} received {} requests in 3 s while warming up",
@@ -170,5 +179,12 @@
             );
             self.record_violation(Invariant::ColdFlooded, at, details);
         }
+        if in_last_second > rate * 3 / 2 + 5 {
+            let details = format!(
+                "{} received {in_last_second} requests in a second while warming up",
+                heartbeat.id
+            );
+            self.record_violation(Invariant::ColdFlooded, at, details);
+        }
     }
 }
--- a/crates/simulator/src/observers/mod.rs
+++ b/crates/simulator/src/observers/mod.rs
@@ -58,7 +58,7 @@
     calls: HashMap<ChangeId, (u32, u32)>,
     closed: HashMap<Zone, Duration>,
     service_attempts: HashMap<ServiceName, ServiceAttempts>,
-    slow_start_attempts: HashMap<(InstanceId, Incarnation), VecDeque<Duration>>,
+    slow_start_attempts: HashMap<(InstanceId, Incarnation), VecDeque<(Duration, bool)>>,
     work_intervals: HashMap<(ServiceName, u32), Vec<WorkInterval>>,
     proxy_versions: HashMap<usize, Version>,
     /// Requests sent and served by second, for the recovery check; also by kind of traffic.
--- a/crates/simulator/src/world/events.rs
+++ b/crates/simulator/src/world/events.rs
@@ -3,7 +3,7 @@
 use crate::connections::Segment;
 use std::time::Duration;
 
-use crate::actors::request::{ClientRequest, InstanceResponse};
+use crate::actors::request::{ClientRequest, HealthCheck, InstanceResponse};
 use caperworks::dispatch::{AttemptEnd, Target};
 use caperworks::envelope_clock::Echo;
 use caperworks::facts::Heartbeat;
@@ -60,6 +60,16 @@
     WorkDone {
         work: usize,
     },
+    HealthCheckArrived {
+        check: Box<HealthCheck>,
+        proxy: usize,
+        proxy_incarnation: u64,
+    },
+    /// The response to a health check: how much longer the instance is warming up.
+    HealthChecked {
+        check: Box<HealthCheck>,
+        warm_up_left: Duration,
+    },
     RequestTimer {
         request: u64,
         at: Duration,
--- a/crates/simulator/src/world/faults.rs
+++ b/crates/simulator/src/world/faults.rs
@@ -2,8 +2,9 @@
 
 use crate::network::Network;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
-use crate::actors::instance::SimInstance;
+use crate::actors::instance::{SimInstance, WarmUp};
 use crate::day::{FaultAction, FaultStep};
 use crate::network::MessageFault;
 use crate::world::events::ScheduledEvent;
@@ -40,6 +41,9 @@
             }
             FaultAction::RepairDisk => self.on_nodes(&nodes, |node| node.disk.fails_writes = false),
             FaultAction::Drain => self.on_instances(&nodes, SimInstance::start_draining),
+            FaultAction::WarmUp(duration) => {
+                self.on_each(&nodes, |world, index| world.start_warm_up(index, *duration));
+            }
             FaultAction::Deregister => {
                 self.on_instances(&nodes, SimInstance::start_deregistration);
             }
@@ -228,6 +232,14 @@
         }
     }
 
+    fn start_warm_up(&mut self, index: usize, duration: Duration) {
+        let since = self.local_time(index);
+        let until = since + duration;
+        if let Some(Process::Instance(instance)) = &mut self.nodes[index].process {
+            instance.start_warm_up(WarmUp { since, until });
+        }
+    }
+
     fn set_slowdown(&mut self, index: usize, times: u32) {
         self.nodes[index].slowdown = times;
         if let Some(Process::Instance(instance)) = &mut self.nodes[index].process {
--- a/crates/simulator/src/world/instances.rs
+++ b/crates/simulator/src/world/instances.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::actors::instance::{SimInstance, Work};
-use crate::actors::request::InstanceResponse;
+use crate::actors::request::{HealthCheck, InstanceResponse};
 use crate::world::events::NodeEvent;
 use crate::world::nodes::Process;
 use crate::world::World;
@@ -51,6 +51,16 @@
             NodeEvent::AttemptArrived { .. } => {
                 self.take_request(index, local, &mut instance, event)
             }
+            NodeEvent::HealthCheckArrived {
+                check,
+                proxy,
+                proxy_incarnation,
+            } => {
+                let is_current = self.nodes[proxy].incarnation == proxy_incarnation;
+                respond_to_health_check(local, &instance, check)
+                    .filter(|_| is_current)
+                    .map(|response| (proxy, response))
+            }
             NodeEvent::WorkDone { work } => self.finish_work(local, &mut instance, work),
             _ => None,
         };
@@ -222,6 +232,20 @@
     }
 }
 
+/// Returns the response to a health check; `None` if it is for another instance or incarnation.
+fn respond_to_health_check(
+    local: Duration,
+    instance: &SimInstance,
+    check: Box<HealthCheck>,
+) -> Option<NodeEvent> {
+    let target = &check.target;
+    let is_addressee = target.instance == instance.id && target.incarnation == instance.incarnation;
+    is_addressee.then_some(NodeEvent::HealthChecked {
+        check,
+        warm_up_left: instance.warm_up.until.saturating_sub(local),
+    })
+}
+
 fn take_heartbeat_response(
     local: Duration,
     instance: &mut SimInstance,
--- a/crates/simulator/src/world/observation.rs
+++ b/crates/simulator/src/world/observation.rs
@@ -6,10 +6,15 @@
 use crate::world::events::ScheduledEvent;
 use crate::world::nodes::Process;
 use crate::world::World;
+use caperworks::dispatch::Target;
 use caperworks::identifiers::{InstanceId, Region, ServiceName, Version};
 use caperworks::map_items::{Route, Service};
 use caperworks::replicated_map::MapName;
 
+/// Time after which every proxy must limit its requests to an instance that begins to warm up: as long as earlier
+/// reports count as current, and a poll of the agent.
+const WARM_UP_NOTICE: Duration = Duration::from_millis(1500);
+
 impl World {
     pub(super) fn record_received_attempt(
         &mut self,
@@ -17,6 +22,7 @@
         request: u64,
         proxy: usize,
         route: &Route,
+        target: &Target,
         configuration: Version,
     ) {
         let local = self.local_time(index);
@@ -46,6 +52,9 @@
             ),
             ..Service::default()
         };
+        let has_begun_lately = local < instance.warm_up.since + WARM_UP_NOTICE;
+        let is_warming_up =
+            local < service.warm_up_period || (local < instance.warm_up.until && !has_begun_lately);
         let unknown_region = Region::new("");
         let proxy_zone = self.nodes[proxy].zone.clone();
         // The scenario's route is used, since a broken proxy may hold a different one.
@@ -68,7 +77,9 @@
         let received = ReceivedAttempt {
             request,
             instance: heartbeat,
-            is_warming_up: heartbeat.is_warming_up(service.warm_up_period),
+            is_warming_up,
+            is_addressee: target.instance == instance.id
+                && target.incarnation == instance.incarnation,
             service: &service,
             route: &true_route,
             region: self.regions.get(&heartbeat.zone).unwrap_or(&unknown_region),
--- a/crates/simulator/src/world/processes.rs
+++ b/crates/simulator/src/world/processes.rs
@@ -5,7 +5,7 @@
 
 use slab::Slab;
 
-use crate::actors::instance::SimInstance;
+use crate::actors::instance::{SimInstance, WarmUp};
 use crate::actors::proxy::SimProxy;
 use crate::world::nodes::{Node, NodeKind, Process};
 use crate::world::World;
@@ -58,6 +58,7 @@
                 incarnation: self.new_incarnation(node),
                 counter: 0,
                 draining: false,
+                warm_up: WarmUp::default(),
                 deregistration: None,
                 held_leases: HeldLeases::default(),
                 heartbeat_targets: heartbeat_targets.clone(),
--- a/crates/simulator/src/world/proxies.rs
+++ b/crates/simulator/src/world/proxies.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::actors::proxy::SimProxy;
-use crate::actors::request::ProxyAction;
+use crate::actors::request::{HealthCheck, ProxyAction};
 use crate::observers::requests::ClientOutcome;
 use crate::world::events::NodeEvent;
 use crate::world::nodes::{NodeKind, Process};
@@ -46,6 +46,13 @@
                 end,
                 response,
             } => proxy.attempt_ended(local, request, attempt, end, response),
+            NodeEvent::HealthChecked {
+                check,
+                warm_up_left,
+            } => {
+                proxy.health_checked(&check, Some(warm_up_left));
+                Vec::new()
+            }
             NodeEvent::RequestTimer { request, at } => proxy.timer_fired(local, request, at),
             _ => Vec::new(),
         };
@@ -64,6 +71,9 @@
                         self.send_control(index, to, message);
                     }
                 }
+                ProxyAction::CheckHealth { check } => {
+                    self.send_health_check(index, node_incarnation, check);
+                }
                 ProxyAction::Stopped => self.end_process(index, false),
                 ProxyAction::SetTimer { request, at } => {
                     let after = self.delay_until_local(index, at);
@@ -105,6 +115,18 @@
         }
     }
 
+    fn send_health_check(&mut self, index: usize, proxy_incarnation: u64, check: HealthCheck) {
+        let Some(to) = self.by_address.get(&check.target.address).copied() else {
+            return;
+        };
+        let arrived = NodeEvent::HealthCheckArrived {
+            check: Box::new(check),
+            proxy: index,
+            proxy_incarnation,
+        };
+        self.send(index, to, arrived);
+    }
+
     /// Opens a connection to an instance.
     fn connect(
         &mut self,
--- a/crates/simulator/src/world/schedule.rs
+++ b/crates/simulator/src/world/schedule.rs
@@ -127,12 +127,13 @@
         if let NodeEvent::AttemptArrived {
             request,
             proxy,
+            target,
             route,
             configuration,
             ..
         } = &event
         {
-            self.record_received_attempt(index, *request, *proxy, route, *configuration);
+            self.record_received_attempt(index, *request, *proxy, route, target, *configuration);
         }
         if let NodeEvent::Connect {
             request,
--- a/crates/simulator/tests/observers.rs
+++ b/crates/simulator/tests/observers.rs
@@ -113,6 +113,13 @@
     });
 }
 
+#[test]
+fn trust_in_old_reports_of_warm_instances_is_detected() {
+    assert_detected("warm-up-while-cut", Invariant::ColdFlooded, |day| {
+        day.proxy_fault = ProxyFault::TrustsOldReports
+    });
+}
+
 #[test]
 fn request_outside_home_region_is_detected() {
     assert_detected("zones-emptied", Invariant::LeftHome, |day| {
