A request waits for the health check that may admit it

Since reports end, a proxy that is out of reach refused requests with 503 while it was still asking: each first request for a keyed owner, and those between two checks. It waits up to 0.15 s for the checks in flight now and chooses again; with none in flight it is answered at once as before.

Test: request_waits_for_the_health_check_of_the_only_instance (503 without the wait).

--- a/crates/caperworks/src/dispatch/slow_start.rs
+++ b/crates/caperworks/src/dispatch/slow_start.rs
@@ -329,6 +329,13 @@
         self.needs_health_checks
     }
 
+    /// Returns whether a health check is in flight, after which a request that no instance may take now can be
+    /// sent.
+    pub fn has_health_check_in_flight(&self) -> bool {
+        let mut stats = self.instance_stats.values();
+        stats.any(|stats| stats.health_checks.is_in_flight)
+    }
+
     /// Returns the instances whose health is to be checked now.
     pub fn begin_health_checks(&mut self, now: Duration, proxy_state: &ProxyState) -> Vec<Target> {
         self.needs_health_checks = false;
--- a/crates/proxy/src/health_checks.rs
+++ b/crates/proxy/src/health_checks.rs
@@ -50,6 +50,7 @@
         let warm_up_left = response.await.ok().flatten();
         let shard = self.shard(&target.service);
         locked(&shard).end_health_check(sent_at, &target, warm_up_left);
+        self.health_checked.notify_waiters();
     }
 
     /// Returns how much longer the instance says that it is warming up; `None` if it gives no valid response.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod request_handler;
 pub mod send_guard;
 pub mod shutdown;
+pub mod target_choice;
 pub mod upstream_request;
 pub mod usage;
--- a/crates/proxy/src/request_handler.rs
+++ b/crates/proxy/src/request_handler.rs
@@ -9,6 +9,7 @@
 
 use hyper::body::{Body as HttpBody, Incoming};
 use hyper::{Method, Request, Response};
+use tokio::sync::Notify;
 
 use crate::attempt::AttemptResponse;
 use crate::demand_meter::DemandMeter;
@@ -17,6 +18,7 @@
 use crate::instance_connections::InstanceConnections;
 use crate::protocol_adapter::ProtocolAdapter;
 use crate::shutdown::ShutdownSchedule;
+use crate::target_choice::Choice;
 use crate::upstream_request::UpstreamRequest;
 use crate::usage::{UsageAccounts, UsageKey, UsageOutcome};
 use caperworks::dispatch::{
@@ -75,6 +77,8 @@
     proxy_state: RwLock<Arc<ProxyState>>,
     shards: RwLock<HashMap<ServiceName, Arc<Mutex<ServiceShard>>>>,
     meter: DemandMeter,
+    /// Notified at the end of each health check.
+    pub(crate) health_checked: Notify,
 }
 
 impl RequestHandler {
@@ -106,6 +110,7 @@
             proxy_state: RwLock::new(Arc::new(proxy_state)),
             shards: RwLock::default(),
             meter: DemandMeter::default(),
+            health_checked: Notify::new(),
         }
     }
 
@@ -312,26 +317,14 @@
             if now >= lifecycle.deadline() {
                 return Err(Failure::DeadlineBeforeSending);
             }
-            let proxy_state = self.proxy_state();
-            proxy_state.check_admission(now, &self.zone, &route)?;
-            let target = {
-                let mut shard = locked(&shard);
-                let target = shard.choose_in_service(
-                    now,
-                    &proxy_state,
-                    &self.zone,
-                    &route,
-                    &service,
-                    key.as_deref(),
-                    &excluded,
-                );
-                if shard.needs_health_checks() {
-                    self.start_health_checks(&mut shard, &proxy_state);
-                }
-                let target = target?;
-                shard.begin_attempt(now, &target);
-                target
+            let choice = Choice {
+                shard: &shard,
+                route: &route,
+                service: &service,
+                key: key.as_deref(),
+                excluded: &excluded,
             };
+            let target = self.begin_attempt(&choice, lifecycle.deadline()).await?;
             lifecycle.chosen();
             let guard = AttemptGuard {
                 proxy: self.clone(),
--- a/crates/proxy/tests/answers/health_checks.rs
+++ b/crates/proxy/tests/answers/health_checks.rs
@@ -8,18 +8,20 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use crate::support::client::{send_alone, status_of};
 use crate::support::fixture::{
     address_of, instance, view_with_health_checks, Protocol, ProxyFixture, SERVICE,
 };
 use caperworks::identifiers::{ServiceName, Zone};
 use caperworks::policy::SlowStartPolicy;
 use proxy::request_handler::{InjectedBug, RequestHandler};
+use runtime::http::REQUEST_HEADER;
 use runtime::locks::locked;
 
 /// Requests that are tried at once.
 const ATTEMPTS: usize = 40;
 
-/// An instance that gives the same response to each health check.
+/// An instance that gives the same response to each health check, and echoes the id of each other request.
 struct CheckedInstance {
     address: SocketAddr,
     checks: Arc<AtomicU32>,
@@ -39,8 +41,13 @@
                     let mut bytes = vec![0; 4096];
                     while let Ok(count @ 1..) = stream.read(&mut bytes).await {
                         let head = String::from_utf8_lossy(&bytes[..count]).to_string();
-                        assert!(head.starts_with("GET /health HTTP/1.1\r\n"), "{head}");
-                        counter.fetch_add(1, Ordering::SeqCst);
+                        let response = match head.starts_with("GET /health HTTP/1.1\r\n") {
+                            true => {
+                                counter.fetch_add(1, Ordering::SeqCst);
+                                response.clone()
+                            }
+                            false => echo(&head),
+                        };
                         if stream.write_all(response.as_bytes()).await.is_err() {
                             return;
                         }
@@ -56,6 +63,14 @@
     }
 }
 
+/// Returns a response that echoes the id of the request.
+fn echo(head: &str) -> String {
+    let mut lines = head.lines();
+    let id = lines.find(|line| line.starts_with(REQUEST_HEADER));
+    let id = id.expect("a request has an id");
+    format!("HTTP/1.1 200 OK\r\n{id}\r\ncontent-length: 2\r\n\r\nok")
+}
+
 impl Drop for CheckedInstance {
     fn drop(&mut self) {
         self.task.abort();
@@ -144,3 +159,22 @@
         assert_eq!(checks, 1, "{headers:?}");
     }
 }
+
+#[tokio::test]
+async fn request_waits_for_the_health_check_of_the_only_instance() {
+    let response = format!("HTTP/1.1 200 OK\r\n{IDENTITY}content-length: 2\r\n\r\nok");
+    let checked = CheckedInstance::start(response).await;
+    let adapter = Protocol::Native.protocol_adapter();
+    let fixture = ProxyFixture::start(917, adapter, InjectedBug::Off, &[]).await;
+    let request_handler = fixture.request_handler.clone();
+    let view = view_with_health_checks(2, vec![instance(0, checked.address)]);
+    request_handler.apply_view(request_handler.clock.now(), &view);
+    // The first one may spend what the slow start allows; the others need the check.
+    let request = b"GET / HTTP/1.1\r\nhost: any.example\r\nconnection: close\r\n\r\n";
+    for number in 0..4 {
+        let seen = send_alone(fixture.address, "GET", request).await;
+        assert_eq!(status_of(&seen), Some(200), "request {number}: {seen:?}");
+    }
+    assert!(checked.checks.load(Ordering::SeqCst) > 0);
+    fixture.stop();
+}
