Begin health checks in the order of the instances' ids

A simulated run must repeat; the order in which health checks begin came from a hash map with a random seed.

--- a/crates/caperworks/src/dispatch/slow_start.rs
+++ b/crates/caperworks/src/dispatch/slow_start.rs
@@ -344,7 +344,10 @@
             .filter(|stats| stats.health_checks.is_in_flight)
             .count();
         let mut targets = Vec::new();
-        for (id, stats) in &mut self.instance_stats {
+        // In the order of their ids, so that a simulated run can be repeated.
+        let mut by_id: Vec<_> = self.instance_stats.iter_mut().collect();
+        by_id.sort_unstable_by_key(|(id, _)| *id);
+        for (id, stats) in by_id {
             let heartbeat = proxy_state.instances.get(id);
             let Some(heartbeat) =
                 heartbeat.filter(|heartbeat| heartbeat.incarnation == stats.incarnation)
