--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Servers answer long uploads before they have read them; clients go on with an upload in chunks on the same connection."""
+"""An instance leaves by DELETE, which is acknowledged; right after it all processes of the core are killed."""
 import asyncio
 import os
 import sys
@@ -7,108 +7,83 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins-2"))
 from fleet import *  # noqa: E402,F403
 
-CALM_FOR = 8.0
-PAIRS = 60
-LONG = 700_000
-SHORT = 5_000
-# A client sends at about 14 MB/s.
-PIECE, PAUSE = 50_000, 0.0035
+DRAIN_TIMEOUT = BOUNDS["drain_timeout_s"]
+CONTACT_WINDOW = BOUNDS["contact_window_s"]
+# How long the leaver serves on after the acknowledgement: drain_timeout_s "and a little longer (at times many seconds)".
+SERVES_ON = 20.0
+RATE = 60
 
 
-class EarlyServer(Server):
-    """Answers a long upload at once, keeps the connection and reads on later, as NEWS-22 allows."""
+async def traffic(fleet, answers, until):
+    number = 0
+    pending = set()
 
-    early = True
+    async def one(front, path):
+        answer = await request(fleet.front(front), "GET", path)
+        status = answer[0] if answer else "none"
+        answers[status] = answers.get(status, 0) + 1
 
-    async def serve(self, reader, writer):
-        try:
-            while True:
-                head = await read_head(reader)
-                if head is None:
-                    return
-                line, headers = head
-                method, path, _ = line.split(" ", 2)
-                if path == "/health":
-                    writer.write(f"HTTP/1.1 200 OK\r\nInstance-Id: {self.id}\r\nContent-Length: 0\r\n\r\n".encode())
-                    await writer.drain()
-                    continue
-                early = self.early and int(headers.get("content-length", 0)) > 500_000
-                if not early:
-                    await read_body(reader, headers)
-                self.runs.append((time.monotonic(), headers.get("attempt-id"), method, path))
-                await self.answer(writer, headers, b"taken")
-                if early:
-                    await asyncio.sleep(0.02)
-                    await read_body(reader, headers)
-        except (ConnectionError, asyncio.IncompleteReadError, ValueError, asyncio.CancelledError):
-            pass
-        finally:
-            writer.close()
-
-
-async def upload(reader, writer, size, chunked):
-    """Sends one upload on a kept connection; returns the status of the answer, or how it ended."""
-    body = os.urandom(size)
-    head = (f"POST /evidence/{size} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt_id()}\r\n"
-            "Deadline-Remaining: 2000\r\n")
-
-    async def send():
-        if chunked:
-            writer.write(head.encode() + b"Transfer-Encoding: chunked\r\n\r\n"
-                         + f"{size:x}\r\n".encode() + body + b"\r\n0\r\n\r\n")
-        else:
-            writer.write(head.encode() + f"Content-Length: {size}\r\n\r\n".encode())
-            for offset in range(0, size, PIECE):
-                writer.write(body[offset:offset + PIECE])
-                await writer.drain()
-                await asyncio.sleep(PAUSE)
-        await writer.drain()
-
-    sending = asyncio.create_task(send())
-    try:
-        answer = await asyncio.wait_for(read_head(reader), 3)
-        if answer is None:
-            return "closed"
-        line, headers = answer
-        await read_body(reader, headers)
-        await asyncio.wait_for(sending, 3)
-        return int(line.split()[1])
-    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as failure:
-        return type(failure).__name__
-    finally:
-        sending.cancel()
+    while time.monotonic() < until():
+        number += 1
+        task = asyncio.create_task(one(fleet.fronts[number % len(fleet.fronts)], f"/progress/{number}"))
+        pending.add(task)
+        task.add_done_callback(pending.discard)
+        await asyncio.sleep(1 / RATE)
+    await asyncio.gather(*pending)
 
 
 async def case(record, trouble):
-    EarlyServer.early = trouble
-    fleet = Fleet(fronts=2)
+    fleet = Fleet(fronts=4)
     try:
         fleet.start_all()
-        servers = [await EarlyServer(fleet, "vault", zone, number + 1).start() for number, zone in enumerate(ZONES)]
+        servers = [await Server(fleet, "records", zone, number + 1).start() for number, zone in enumerate(list(ZONES) * 2)]
         controls = [fleet.control(core) for core in fleet.cores]
-        first = first_call([service("vault")], [route("r-evidence", "/evidence/", "vault", kind="upload_transfer")])
+        first = first_call([service("records")], [route("r-progress", "/progress/", "records")])
         if not await order(controls, "PATCH", "/caperworks/configuration", first, within=15):
             raise CannotRun("the first configuration was not acknowledged")
+        fleet.initial_start = False
         await fleet.ready()
-        await asyncio.sleep(CALM_FOR)
-        long_answers, short_answers = {}, {}
-        for number in range(PAIRS):
-            reader, writer = await asyncio.open_connection(*fleet.front(fleet.fronts[number % 2]))
-            for answers, size, chunked in ((long_answers, LONG, False), (short_answers, SHORT, True)):
-                status = await upload(reader, writer, size, chunked)
-                answers[status] = answers.get(status, 0) + 1
-                if not isinstance(status, int):
-                    break
-            writer.close()
-        sent = sum(long_answers.values()) + sum(short_answers.values())
-        own = sum(count for answers in (long_answers, short_answers) for status, count in answers.items()
-                  if isinstance(status, int) and 300 <= status < 500 and status not in (408, 421, 429))
-        run = sum(len(server.runs) for server in servers)
-        record.line(f"servers answer long uploads {'before' if trouble else 'after'} they read them")
-        record.line(f"{LONG} bytes with a length, first on its connection: answered {long_answers}")
-        record.line(f"{SHORT} bytes in chunks, next on the same connection: answered {short_answers}")
-        record.line(f"sent {sent}, run {run}; own 3xx or 4xx: {own}, bound {5 + sent // 500}")
-        return own > 5 + sent / 500
+        await asyncio.sleep(8)
+        end = [time.monotonic() + 120]
+        answers = {}
+        load = asyncio.create_task(traffic(fleet, answers, lambda: end[0]))
+        await asyncio.sleep(3)
+        leaver = servers[0]
+        before = len(leaver.runs)
+        # The leaver sends no beat any more; one under way is waited for.
+        leaver.leaving = True
+        await asyncio.sleep(1.2)
+        answer = await leaver.deregister()
+        acknowledged = time.monotonic()
+        if not answer or not 200 <= answer[0] < 300:
+            raise CannotRun("the DELETE was not acknowledged")
+        record.line(f"{leaver.id} sends DELETE without draining before: answered {answer[0]}; it had run {before} requests")
+        settled = acknowledged
+        if trouble:
+            for core in fleet.cores:
+                fleet.send(core, "controller", signal.SIGKILL)
+            record.line(f"SIGKILL to all 3 controllers {1000 * (time.monotonic() - acknowledged):.0f} ms later")
+            for core in fleet.cores:
+                core.processes["controller"].wait()
+            await asyncio.sleep(0.6)
+            for core in fleet.cores:
+                fleet.start(core, "controller")
+            settled = time.monotonic()
+            record.line(f"all 3 started again with their disks {settled - acknowledged:.2f} s after the acknowledgement")
+        # Twice contact_window_s after the last event at the core all machines are in touch by any reading.
+        judged = max(acknowledged + DRAIN_TIMEOUT, settled + 2 * CONTACT_WINDOW)
+        await asyncio.sleep(max(0.0, acknowledged + SERVES_ON - time.monotonic()))
+        leaver.stop()
+        end[0] = time.monotonic()
+        await load
+        late = [at - acknowledged for at, *_ in leaver.runs if at > acknowledged + DRAIN_TIMEOUT]
+        broken = [at for at in late if at > judged - acknowledged]
+        alive = sum(core.processes["controller"].poll() is None for core in fleet.cores)
+        record.line(f"answers to clients: {answers}; controllers running: {alive} of 3")
+        record.line(f"requests that reached the leaver over {DRAIN_TIMEOUT} s after the acknowledgement: {len(late)}"
+                    + (f", the last {late[-1]:.1f} s after it" if late else ""))
+        record.line(f"of these, over {judged - acknowledged:.1f} s after it, when all machines were in touch: {len(broken)}")
+        return bool(broken)
     finally:
         fleet.end()
 
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# TROUBLE=0: the same with servers that read a body before they answer.
+# TROUBLE=0: the same without the kill.
 cd "$(dirname "$0")" && exec env PYTHONDONTWRITEBYTECODE=1 python3 case.py
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -324,6 +324,7 @@
         self.task = None
         self.listener = None
         self.on_answer = None
+        self.leaving = False
 
     async def start(self):
         self.listener = await asyncio.start_server(self.serve, self.address, self.fleet.server_port)
@@ -366,7 +367,7 @@
         return None
 
     async def beats(self):
-        while True:
+        while not self.leaving:
             body = await self.send_beat()
             if self.on_answer:
                 self.on_answer(body)
