--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -31,6 +31,17 @@
     """The case could not be run: this says nothing about the rule."""
 
 
+FLEETS = []
+
+
+def end_all(*_):
+    """Ends the processes of every fleet; as the handler of a signal it ends the script as well, as one that could not run."""
+    for fleet in FLEETS:
+        fleet.end()
+    if _:
+        os._exit(2)
+
+
 class Machine:
     def __init__(self, name, kind, zone, address):
         self.name, self.kind, self.zone, self.address = name, kind, zone, address
@@ -56,6 +67,7 @@
         self.initial_start = True
         self.started = []
         self.servers = []
+        FLEETS.append(self)
 
     @staticmethod
     def free_ports(block):
@@ -472,13 +484,16 @@
     record = Record(os.path.join(os.path.dirname(os.path.abspath(path)), os.environ.get("RECORD", "record.txt")))
     record.line("with the disruption" if trouble else "TROUBLE=0: the same without the disruption")
     code = 2
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, end_all)
     try:
         loop = asyncio.new_event_loop()
         broken = loop.run_until_complete(asyncio.wait_for(case(record, trouble), 110))
         record.line("the rule was broken" if broken else "the rule held")
         code = 1 if broken else 0
-    except (CannotRun, OSError, asyncio.TimeoutError) as failure:
+    except Exception as failure:  # A fault of a stand-in says nothing about the rule.
         record.line(f"could not run: {failure!r}")
+        end_all()
     # The project's processes have ended; the servers' tasks, which beat for ever, are not waited for.
     sys.stdout.flush()
     os._exit(code)
