--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -22,8 +22,9 @@
 use runtime::connections::PortEvent;
 use runtime::connections::{listen, ControlPort};
 use runtime::events::{
-    event, CONTROL_LINK_SLOW, FRESH, INSTANCE_GONE, MAP_UPDATED, PARTITION_FALLBACK_ENTERED,
-    PARTITION_FALLBACK_LEFT, PIECE_REFUSED, STALE, STARTED, STOPPED, STOPPING,
+    event, CONTROL_LINK_SLOW, FRESH, INSTANCE_DEREGISTERED, INSTANCE_GONE, MAP_UPDATED,
+    PARTITION_FALLBACK_ENTERED, PARTITION_FALLBACK_LEFT, PIECE_REFUSED, STALE, STARTED, STOPPED,
+    STOPPING,
 };
 use runtime::http::{
     heartbeats, json_response, read_limited_body, ready_response, serve_http, usage_json, Body,
@@ -64,6 +65,9 @@
                         event(MAP_UPDATED, format!("{map} at {version}"));
                     }
                     AgentEvent::InstanceSuspected { id } => event(INSTANCE_GONE, id),
+                    AgentEvent::InstanceDeregistered { id, controller } => {
+                        event(INSTANCE_DEREGISTERED, format!("{id} from {controller}"));
+                    }
                     AgentEvent::ControlLinkSlow { figures } => {
                         event(CONTROL_LINK_SLOW, format!("agent: {figures}"));
                     }
--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -132,6 +132,11 @@
     InstanceSuspected {
         id: InstanceId,
     },
+    /// An instance was removed because it deregistered, as this controller reports.
+    InstanceDeregistered {
+        id: InstanceId,
+        controller: SocketAddr,
+    },
     /// There is no lease; the figures show what was requested and received recently.
     ControlLinkSlow {
         figures: LinkFigures,
@@ -419,6 +424,7 @@
         granted: &Granted,
         outputs: &mut Vec<AgentOutput>,
     ) {
+        self.log_deregistrations(responder.address, granted, outputs);
         let advanced = self.link.handle_grant(now, responder, granted);
         let requests = self.link.fetch_in_chunks(now, responder.address, granted);
         self.request_chunks(requests, outputs);
@@ -429,6 +435,23 @@
         self.handle_map_updates(&advanced, outputs);
     }
 
+    /// Logs the instances known here that a controller reports as deregistered.
+    fn log_deregistrations(
+        &self,
+        controller: SocketAddr,
+        granted: &Granted,
+        outputs: &mut Vec<AgentOutput>,
+    ) {
+        let deregistered = granted.deregistered.iter();
+        let known = deregistered.filter(|id| self.link.instances.get(id).is_some());
+        outputs.extend(known.map(|id| AgentOutput::LogEvent {
+            event: AgentEvent::InstanceDeregistered {
+                id: id.clone(),
+                controller,
+            },
+        }));
+    }
+
     /// Handles the response to a request for chunks of a map.
     fn handle_chunks(
         &mut self,
--- a/crates/controller/src/daemon/events.rs
+++ b/crates/controller/src/daemon/events.rs
@@ -4,10 +4,10 @@
 use caperworks::identifiers::NodeId;
 use runtime::events::{
     event, CANDIDATE_WAITING, DISK_DAMAGED, DISK_RECOVERED, DISK_REFUSED, FENCED, FOUNDED,
-    INSTANCE_GONE, INSTANCE_WARMING_UP, KEY_RANGES_REASSIGNED, LEADERSHIP_REQUESTED, MAJORITY_LOST,
-    MAP_UPDATED, MEMBER_GONE, OWNERSHIP_LEADER_ELECTED, PIECE_REFUSED, SHUTDOWN_INCOMPLETE,
-    STATE_TOO_LARGE, VOTERS_CHANGED, VOTER_MANAGEMENT_STARTED, VOTER_REFUSED, VOTER_UNREACHABLE,
-    VOTER_WANTED,
+    INSTANCE_DEREGISTERED, INSTANCE_GONE, INSTANCE_WARMING_UP, KEY_RANGES_REASSIGNED,
+    LATE_HEARTBEAT_IGNORED, LEADERSHIP_REQUESTED, MAJORITY_LOST, MAP_UPDATED, MEMBER_GONE,
+    OWNERSHIP_LEADER_ELECTED, PIECE_REFUSED, SHUTDOWN_INCOMPLETE, STATE_TOO_LARGE, VOTERS_CHANGED,
+    VOTER_MANAGEMENT_STARTED, VOTER_REFUSED, VOTER_UNREACHABLE, VOTER_WANTED,
 };
 
 /// Writes an event to the log.
@@ -33,6 +33,12 @@
             INSTANCE_WARMING_UP,
             format!("{id} for {} ms, heartbeat {counter}", left.as_millis()),
         ),
+        Event::InstanceDeregistered { id, source } => {
+            event(INSTANCE_DEREGISTERED, format!("{id} {source}"));
+        }
+        Event::LateHeartbeatIgnored { id, counter } => {
+            event(LATE_HEARTBEAT_IGNORED, format!("{id}, heartbeat {counter}"));
+        }
         Event::MemberExpired { node } => event(MEMBER_GONE, node),
         Event::VoterChangeProposed { why } => event(VOTER_WANTED, why),
         Event::VoterChangeRejected { why } => event(VOTER_REFUSED, why),
--- a/crates/controller/src/fact_exchange.rs
+++ b/crates/controller/src/fact_exchange.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::instance_calls::record_deregistration;
 use crate::state::ControllerState;
+use crate::state_machine::event::DeregistrationSource;
 use caperworks::facts::{ReceivedHeartbeat, ReceivedMember};
 use caperworks::identifiers::{InstanceId, NodeId};
 use caperworks::leadership::SUSPICION_TIMEOUT;
@@ -107,6 +109,7 @@
 /// Facts of unknown age are ignored, since every fact is soon sent again.
 pub fn handle_facts(
     state: &mut ControllerState,
+    reply_to: SocketAddr,
     instances: Vec<ReceivedHeartbeat>,
     members: Vec<ReceivedMember>,
     deregistered: Vec<InstanceId>,
@@ -119,7 +122,7 @@
         state.instances.handle(state.now, &received.aged(age));
     }
     for id in deregistered {
-        state.instances.record_termination(state.now, &id);
+        record_deregistration(state, &id, DeregistrationSource::Peer(reply_to));
     }
     for received in members {
         state.members.handle(state.now, &received.aged(age));
--- a/crates/controller/src/instance_calls.rs
+++ b/crates/controller/src/instance_calls.rs
@@ -12,7 +12,7 @@
 use crate::fault_injection::FaultInjection;
 use crate::leadership::ownership;
 use crate::state::ControllerState;
-use crate::state_machine::event::Event;
+use crate::state_machine::event::{DeregistrationSource, Event};
 use crate::state_machine::operator_messages::OperatorResponse;
 use caperworks::envelope_clock::Echo;
 use caperworks::facts::{Heartbeat, InstanceState, ReceivedHeartbeat};
@@ -148,7 +148,7 @@
         reject(state, ticket);
         return;
     }
-    state.instances.record_termination(state.now, &id);
+    record_deregistration(state, &id, DeregistrationSource::Instance);
     let requirements = Requirements {
         confirmations: confirmations_needed(state),
         owner_manager: None,
@@ -159,6 +159,18 @@
     }
 }
 
+/// Records that an instance deregistered.
+pub fn record_deregistration(
+    state: &mut ControllerState,
+    id: &InstanceId,
+    source: DeregistrationSource,
+) {
+    if state.instances.record_termination(state.now, id) {
+        let id = id.clone();
+        state.log_event(Event::InstanceDeregistered { id, source });
+    }
+}
+
 /// Acknowledges a call, or keeps it pending until its requirements are met. Returns the call's number.
 fn begin_call(
     state: &mut ControllerState,
@@ -284,7 +296,7 @@
         state.instances.handle(state.now, &received.aged(age));
     }
     if let Some(id) = ended {
-        state.instances.record_termination(state.now, &id);
+        record_deregistration(state, &id, DeregistrationSource::Peer(reply_to));
     }
     state.send(reply_to, Message::FactConfirmed { number });
 }
@@ -385,7 +397,10 @@
         return HeartbeatResponse::default();
     };
     state.instances.handle(state.now, &received);
-    if state.instances.has_ended(&received.heartbeat.id) {
+    let heartbeat = &received.heartbeat;
+    if state.instances.has_ended(&heartbeat.id) {
+        let (id, counter) = (heartbeat.id.clone(), heartbeat.counter);
+        state.log_event(Event::LateHeartbeatIgnored { id, counter });
         return HeartbeatResponse::default();
     }
     ownership::respond_to_heartbeat(state, &received.heartbeat)
--- a/crates/controller/src/state_machine/dispatch.rs
+++ b/crates/controller/src/state_machine/dispatch.rs
@@ -133,7 +133,7 @@
             instances,
             members,
             deregistered,
-        } => fact_exchange::handle_facts(state, instances, members, deregistered, age),
+        } => fact_exchange::handle_facts(state, reply_to, instances, members, deregistered, age),
         Message::ConfirmFact {
             number,
             heartbeat,
--- a/crates/controller/src/state_machine/event.rs
+++ b/crates/controller/src/state_machine/event.rs
@@ -1,5 +1,6 @@
 //! Events of the controller that are written to the log.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -8,6 +9,24 @@
 use caperworks::ownership::OwnerChangeSummary;
 use caperworks::replicated_map::MapName;
 
+/// From whom a controller learned that an instance deregistered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DeregistrationSource {
+    /// The instance called this controller.
+    Instance,
+    /// The controller with this address told it.
+    Peer(SocketAddr),
+}
+
+impl fmt::Display for DeregistrationSource {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Instance => write!(formatter, "from the instance"),
+            Self::Peer(address) => write!(formatter, "from {address}"),
+        }
+    }
+}
+
 /// An event, which the daemon logs under its number in the event catalogue.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
@@ -67,6 +86,20 @@
         /// The number of the heartbeat.
         counter: u64,
     },
+    /// This controller recorded that an instance deregistered.
+    InstanceDeregistered {
+        /// The instance.
+        id: InstanceId,
+        /// From whom this controller learned it.
+        source: DeregistrationSource,
+    },
+    /// A heartbeat of a deregistered instance was ignored.
+    LateHeartbeatIgnored {
+        /// The instance.
+        id: InstanceId,
+        /// The number of the heartbeat.
+        counter: u64,
+    },
     /// An agent or a directory was removed because it did not renew within its lifetime.
     MemberExpired {
         /// The ID of the node.
--- a/crates/runtime/src/events.rs
+++ b/crates/runtime/src/events.rs
@@ -63,6 +63,8 @@
     219 Info VOTERS_CHANGED "The membership has other voters; the line lists them.";
     220 Info KEY_RANGES_REASSIGNED "The owner manager proposes new owners for key ranges: the line says of whom, why they may have new owners, and what was left of the lease.";
     221 Info INSTANCE_WARMING_UP "An instance reported to this controller that it is warming up, which it was not by its last heartbeat: the line says for how long, and the number of the heartbeat.";
+    222 Info INSTANCE_DEREGISTERED "A controller recorded that an instance deregistered, or an agent removed it for that reason: the line says from whom it learned that.";
+    223 Info LATE_HEARTBEAT_IGNORED "A heartbeat of a deregistered instance was ignored: it was sent before the deregistration and came late.";
     300 Info FRESH "The lease is valid, and the versions that it names are present.";
     301 Warn STALE "The lease has expired: the proxy rejects requests until it is renewed.";
     302 Warn PARTITION_FALLBACK_ENTERED "The controllers are unreachable; the responses of a majority of the agents keep this one fresh.";
