--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -7,9 +7,11 @@
 
 use crate::heartbeats::PendingHeartbeat;
 use crate::proxy_calls::PROXY_MAP_INTERVAL;
+use crate::witness::ConfirmationRequest;
 use caperworks::catch_up::{CatchUpRequest, SnapshotRateLimiter, SnapshotSender};
 use caperworks::consensus::messages::ConsensusMessage;
 use caperworks::consensus::voter::Voter;
+use caperworks::deregistrations::Deregistrations;
 use caperworks::envelope_clock::Echo;
 use caperworks::facts::{Heartbeat, Member, Role};
 use caperworks::identifiers::{
@@ -171,6 +173,8 @@
     pub(crate) unforwarded_heartbeats: BTreeSet<InstanceId>,
     /// The voter of this agent while the membership names it as a witness.
     pub(crate) voter: Option<Voter>,
+    /// The deregistrations that this agent has confirmed as a witness.
+    pub(crate) confirmed_deregistrations: Deregistrations,
     /// Encoded snapshots of the voter's maps, for controllers that are behind.
     pub(crate) snapshots: SnapshotSender,
     /// How often other agents and the proxy are sent full maps.
@@ -212,6 +216,7 @@
             fallback_quorum,
             unforwarded_heartbeats: BTreeSet::new(),
             voter: None,
+            confirmed_deregistrations: Deregistrations::default(),
             snapshots: SnapshotSender::default(),
             agent_map_limit: SnapshotRateLimiter::default(),
             proxy_map_limit: SnapshotRateLimiter::with_interval(PROXY_MAP_INTERVAL),
@@ -340,6 +345,7 @@
 
     fn tick(&mut self, now: Duration, outputs: &mut Vec<AgentOutput>) {
         self.snapshots.tick(now);
+        self.forget_confirmed_deregistrations(now);
         if self.link.check_renewal_due(now) {
             let member = self.member(now);
             let (to, message) = self.link.renew(now, member);
@@ -409,8 +415,22 @@
                 self.handle_chunks(now, from, &message, outputs);
                 self.handle_vote(now, from, message, outputs);
             }
-            Message::QuorumReadRequest { number } => {
-                self.handle_quorum_read_request(from, number, outputs)
+            Message::QuorumReadRequest {
+                number,
+                deregistrations,
+            } => self.handle_quorum_read_request(now, from, number, deregistrations, outputs),
+            Message::ConfirmFact {
+                number,
+                heartbeat,
+                ended,
+            } => {
+                let request = ConfirmationRequest {
+                    from,
+                    number,
+                    heartbeat,
+                    ended,
+                };
+                self.handle_confirmation_request(now, request, max_age, outputs);
             }
             // All other messages are for controllers.
             _ => {}
--- a/crates/caperworks/src/consensus/messages.rs
+++ b/crates/caperworks/src/consensus/messages.rs
@@ -3,7 +3,7 @@
 //! The numbers before fields and variants are part of the wire and disk format: never renumber them.
 
 use crate::catch_up::{SnapshotChunk, TransferPosition};
-use crate::identifiers::{NodeId, Version};
+use crate::identifiers::{InstanceId, NodeId, Version};
 use crate::reduced_map::FeedForm;
 use crate::replicated_map::{Change, MapName, ReplicatedMap};
 
@@ -43,7 +43,7 @@
     }
 
     /// One record of the write-ahead log between two slots. `version` is always the version being
-    /// decided: the one after the voter's committed version.
+    /// decided: the one after the voter's committed version. A voter ignores the records of deregistrations.
     #[derive(Eq)]
     enum Record {
         /// The voter promised this proposal number.
@@ -52,6 +52,10 @@
         1 Accepted { 0 map: MapName, 1 version: Version, 2 accepted: AcceptedProposal },
         /// The voter learned that this change is committed.
         2 Committed { 0 map: MapName, 1 version: Version, 2 change: Change },
+        /// The node learned that these instances deregistered. It belongs to no map.
+        3 Deregistered { 0 ids: Vec<InstanceId> },
+        /// The node forgot these deregistrations.
+        4 DeregistrationsForgotten { 0 ids: Vec<InstanceId> },
     }
 
     /// The messages of the consensus protocol. `version` is the version to be decided, `membership`
--- a/crates/caperworks/src/consensus/voter/commits.rs
+++ b/crates/caperworks/src/consensus/voter/commits.rs
@@ -46,6 +46,7 @@
                     self.advance(map, change);
                 }
             }
+            Record::Deregistered { .. } | Record::DeregistrationsForgotten { .. } => {}
         }
     }
 
--- a/crates/caperworks/src/disk_frame.rs
+++ b/crates/caperworks/src/disk_frame.rs
@@ -17,8 +17,11 @@
 use crate::old_disk_format::read_old_frame;
 
 /// The format that is written. Format 1 had no format number, see
-/// [`old_disk_format`](crate::old_disk_format).
-pub const DISK_FORMAT: u16 = 2;
+/// [`old_disk_format`](crate::old_disk_format). Format 2 has the same frames, and its logs contain no
+/// deregistrations.
+pub const DISK_FORMAT: u16 = 3;
+/// The earliest format with a format number.
+const FIRST_NUMBERED_FORMAT: u16 = 2;
 
 const SLOT_MAGIC: u32 = 0x4341_5346;
 const LINE_MAGIC: u32 = 0x4341_4c46;
@@ -72,6 +75,15 @@
     pub length: usize,
     /// For log lines, how many bytes of the log were known to be synced; `None` in format 1.
     pub synced_before: Option<u64>,
+    /// The format in which it was written.
+    pub format: u16,
+}
+
+impl DiskFrame<'_> {
+    /// Returns whether an earlier release wrote it, in a format that is no longer written.
+    pub fn has_old_format(&self) -> bool {
+        self.format != DISK_FORMAT
+    }
 }
 
 impl FrameKind {
@@ -137,16 +149,21 @@
     (format == !complement).then_some(format)
 }
 
+fn is_numbered_format(format: u16) -> bool {
+    (FIRST_NUMBERED_FORMAT..=DISK_FORMAT).contains(&format)
+}
+
 /// Returns the format number of the frame at the start of `bytes` if this program cannot read it.
 pub fn unknown_format_at(kind: FrameKind, bytes: &[u8]) -> Option<u16> {
-    format_at(kind, bytes).filter(|format| *format != DISK_FORMAT)
+    format_at(kind, bytes).filter(|format| !is_numbered_format(*format))
 }
 
 /// Reads the frame at the start of `bytes`, in any supported format; `None` if it is torn or damaged.
 pub fn read_frame(kind: FrameKind, bytes: &[u8]) -> Option<DiskFrame<'_>> {
-    if format_at(kind, bytes) != Some(DISK_FORMAT) {
+    let numbered = format_at(kind, bytes).filter(|format| is_numbered_format(*format));
+    let Some(format) = numbered else {
         return read_old_frame(kind, bytes);
-    }
+    };
     let length = read_u32(bytes, 8)? as usize;
     let end = FRAME_HEADER_BYTES.checked_add(length)?;
     let payload = bytes.get(FRAME_HEADER_BYTES..end)?;
@@ -157,5 +174,6 @@
         payload,
         length: end,
         synced_before: Some(u64::from(read_u32(bytes, 12)?)),
+        format,
     })
 }
--- a/crates/caperworks/src/instances.rs
+++ b/crates/caperworks/src/instances.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::deregistrations::{Deregistrations, ReceivedDeregistration};
 use crate::facts::offset_before;
 use crate::facts::InstanceState;
 use crate::facts::{first_facts_after, FactBatch, FactEntry, Heartbeat, ReceivedHeartbeat};
@@ -16,8 +17,6 @@
 pub const SUSPECTED_RETENTION: Duration = Duration::from_secs(30);
 /// How long followers list an instance that announced its termination while it was serving.
 const SERVING_ON_RETENTION: Duration = Duration::from_secs(5);
-/// How long it is remembered that an instance announced its termination.
-const ENDED_RETENTION: Duration = Duration::from_secs(30);
 
 /// The known instances.
 #[derive(Debug, Clone)]
@@ -27,7 +26,7 @@
     /// scan of all instances, which would be the main cost with many of them.
     by_address: HashMap<SocketAddr, InstanceId>,
     /// Instances that announced their termination, so that no late heartbeat brings them back.
-    ended: BTreeMap<InstanceId, FactEntry<()>>,
+    deregistrations: Deregistrations,
     /// The last heartbeats of instances that announced their termination while they were serving, changed
     /// to draining, with the time of the announcement. Some serve on for a while.
     serving_on: BTreeMap<InstanceId, (Heartbeat, Duration)>,
@@ -48,7 +47,7 @@
         Self {
             known: BTreeMap::new(),
             by_address: HashMap::new(),
-            ended: BTreeMap::new(),
+            deregistrations: Deregistrations::default(),
             serving_on: BTreeMap::new(),
             suspected: BTreeMap::new(),
             latest_offset: 0,
@@ -64,7 +63,7 @@
     pub fn handle(&mut self, now: Duration, received: &ReceivedHeartbeat) -> bool {
         let received_at = now.saturating_sub(received.age);
         if now.saturating_sub(received_at) >= self.timeout
-            || self.ended.contains_key(&received.heartbeat.id)
+            || self.deregistrations.contains(&received.heartbeat.id)
         {
             return false;
         }
@@ -152,22 +151,31 @@
 
     /// Handles an instance's announcement of its termination; returns whether it was not known yet.
     pub fn record_termination(&mut self, now: Duration, id: &InstanceId) -> bool {
-        if self.ended.contains_key(id) {
+        let received = ReceivedDeregistration {
+            id: id.clone(),
+            age: Duration::ZERO,
+        };
+        self.handle_deregistration(now, &received)
+    }
+
+    /// Handles a report that an instance announced its termination some time ago; returns whether it was not
+    /// known yet.
+    pub fn handle_deregistration(
+        &mut self,
+        now: Duration,
+        received: &ReceivedDeregistration,
+    ) -> bool {
+        let offset = self.latest_offset + 1;
+        if !self.deregistrations.record(now, received, offset) {
             return false;
         }
+        let id = &received.id;
         if let Some(entry) = self.known.remove(id) {
             self.by_address.remove(&entry.fact.address);
             self.record_serving_on(now, entry.fact);
         }
         self.suspected.remove(id);
         self.record_removal();
-        let entry = FactEntry {
-            fact: (),
-            received_at: now,
-            offset: self.latest_offset,
-            notified_at: now,
-        };
-        self.ended.insert(id.clone(), entry);
         true
     }
 
@@ -191,25 +199,25 @@
             .map(|(heartbeat, _)| heartbeat)
     }
 
+    /// Returns the instances that announced their termination and are still remembered.
+    pub fn deregistrations(&self) -> &Deregistrations {
+        &self.deregistrations
+    }
+
     /// Returns whether an instance announced its termination.
     pub fn has_ended(&self, id: &InstanceId) -> bool {
-        self.ended.contains_key(id)
+        self.deregistrations.contains(id)
     }
 
     /// Returns how long ago an instance announced its termination, if it did.
     pub fn time_since_end(&self, now: Duration, id: &InstanceId) -> Option<Duration> {
-        let ended = self.ended.get(id)?;
-        Some(now.saturating_sub(ended.received_at))
+        self.deregistrations.age(now, id)
     }
 
     /// Returns the instances whose termination was recorded after an offset.
     pub fn ended_after(&self, now: Duration, offset: u64) -> Vec<InstanceId> {
-        self.ended
-            .iter()
-            .filter(|(_, entry)| entry.offset > offset)
-            .filter(|(_, entry)| now.saturating_sub(entry.received_at) < ENDED_RETENTION)
-            .map(|(id, _)| id.clone())
-            .collect()
+        let deregistered = self.deregistrations.after(now, offset);
+        deregistered.into_iter().map(|entry| entry.id).collect()
     }
 
     /// Removes and returns the instances whose heartbeats are overdue.
@@ -253,11 +261,15 @@
         self.suspected.contains_key(id)
     }
 
+    /// Forgets the deregistrations that need not be remembered any longer, and returns them.
+    pub fn forget_old_deregistrations(&mut self, now: Duration) -> Vec<InstanceId> {
+        self.deregistrations.expire(now)
+    }
+
     fn prune_ended(&mut self, now: Duration) {
         self.serving_on
             .retain(|_, (_, since)| now.saturating_sub(*since) < SERVING_ON_RETENTION);
-        self.ended
-            .retain(|_, entry| now.saturating_sub(entry.received_at) < ENDED_RETENTION);
+        self.forget_old_deregistrations(now);
     }
 
     /// The time counts from when an instance became suspected, not from its last heartbeat: while the
@@ -290,7 +302,7 @@
     /// Returns the offset up to which instances and their terminations were recorded before `moment`.
     pub fn offset_before(&self, moment: Duration) -> u64 {
         let known = offset_before(self.known.values(), moment);
-        known.max(offset_before(self.ended.values(), moment))
+        known.max(self.deregistrations.offset_before(moment))
     }
 
     /// Returns the heartbeats that were recorded after an offset, with their current age.
--- a/crates/caperworks/src/leases.rs
+++ b/crates/caperworks/src/leases.rs
@@ -82,25 +82,25 @@
         self.number
     }
 
-    /// Handles a response; `from` must be a voter.
+    /// Handles a response; `from` must be a voter. Returns whether it completed a quorum read.
     pub fn handle_response(
         &mut self,
         from: NodeId,
         number: u64,
         versions: Vec<Version>,
         majority: usize,
-    ) {
+    ) -> bool {
         let Some(index) = self
             .open
             .iter()
             .position(|quorum_read| quorum_read.number == number)
         else {
-            return;
+            return false;
         };
         let quorum_read = &mut self.open[index];
         quorum_read.responses.insert(from, versions);
         if quorum_read.responses.len() < majority {
-            return;
+            return false;
         }
         let mut highest = vec![Version(0); ALL_MAPS.len()];
         for versions in quorum_read.responses.values() {
@@ -116,6 +116,7 @@
         // Earlier quorum reads could only yield older information than this one.
         self.open.drain(..=index);
         self.latest = Some(complete);
+        true
     }
 
     /// Returns the latest completed quorum read if it is recent enough to grant leases.
--- a/crates/caperworks/src/lib.rs
+++ b/crates/caperworks/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod change_check;
 pub mod configuration;
 pub mod consensus;
+pub mod deregistrations;
 pub mod directory_responses;
 pub mod disk_frame;
 pub mod dispatch;
--- a/crates/caperworks/src/messages.rs
+++ b/crates/caperworks/src/messages.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::consensus::messages::ConsensusMessage;
+use crate::deregistrations::{DeregistrationDigest, ReceivedDeregistration};
 use crate::envelope_clock::{Echo, Stamp};
 use crate::facts::{Demand, Heartbeat, Member, ReceivedHeartbeat, ReceivedMember};
 use crate::identifiers::{InstanceId, NodeId, RouteName, ServiceName, Version, Zone};
@@ -170,15 +171,19 @@
     /// A message between two of our own processes.
     enum Message {
         0 ConsensusMessage { 0 message: ConsensusMessage },
-        1 QuorumReadRequest { 0 number: u64 },
+        /// Besides the versions it brings the deregistrations: `deregistrations` describes those that the sender knows.
+        1 QuorumReadRequest { 0 number: u64, 1 deregistrations: Option<DeregistrationDigest> },
         /// The versions in memory, which count for reads and leases, and the versions that are synced to disk.
-        /// `shutting_down` is set once the sender has begun a graceful shutdown.
-        2 QuorumReadResponse { 0 number: u64, 1 versions: Vec<Version>, 2 synced: Option<Vec<Version>>, 3 shutting_down: Option<bool> },
+        /// `shutting_down` is set once the sender has begun a graceful shutdown. `deregistrations` lists what the
+        /// sender knows, if it differs from what the request describes. `merged_under` is the version
+        /// of the voters of whom a majority's deregistrations the sender last merged and synced.
+        2 QuorumReadResponse { 0 number: u64, 1 versions: Vec<Version>, 2 synced: Option<Vec<Version>>, 3 shutting_down: Option<bool>, 4 deregistrations: Option<Vec<ReceivedDeregistration>>, 5 merged_under: Option<Version> },
         3 SeedRequest { 0 zone: Zone, 1 founded: bool, 2 evidence: Option<FoundingEvidence> },
         4 SeedResponse { 0 zone: Zone, 1 founded: bool, 2 evidence: Option<FoundingEvidence> },
         5 FoundingRequest { 0 founding: Founding },
         6 FoundingResponse { 0 attempt: u64 },
-        7 Facts { 0 instances: Vec<ReceivedHeartbeat>, 1 members: Vec<ReceivedMember>, 2 deregistered: Vec<InstanceId> },
+        /// `deregistered` repeats the IDs of `deregistrations` for earlier releases, which read only those.
+        7 Facts { 0 instances: Vec<ReceivedHeartbeat>, 1 members: Vec<ReceivedMember>, 2 deregistered: Vec<InstanceId>, 3 deregistrations: Option<Vec<ReceivedDeregistration>> },
         8 Renew { 0 renewal: Renewal },
         9 Grant { 0 granted: Granted },
         10 HeartbeatForward { 0 ticket: u64, 1 received: ReceivedHeartbeat },
@@ -187,8 +192,9 @@
         13 View { 0 view: ProxyView },
         14 FallbackRequest { 0 request: FallbackRequest },
         15 FallbackResponse { 0 response: FallbackResponse },
-        /// A limiting heartbeat or a deregistration, acknowledged once a majority of the voters has it.
+        /// A limiting heartbeat or a deregistration, acknowledged once enough voters have confirmed it.
         16 ConfirmFact { 0 number: u64, 1 heartbeat: Option<ReceivedHeartbeat>, 2 ended: Option<InstanceId> },
-        17 FactConfirmed { 0 number: u64 },
+        /// `synced` says that the fact is on the sender's disk. Witnesses and earlier releases do not send it.
+        17 FactConfirmed { 0 number: u64, 1 synced: Option<bool> },
     }
 }
--- a/crates/caperworks/src/old_disk_format.rs
+++ b/crates/caperworks/src/old_disk_format.rs
@@ -29,6 +29,7 @@
         payload,
         length: HEADER_BYTES + length,
         synced_before: None,
+        format: 1,
     })
 }
 
--- a/crates/caperworks/src/replicated_map.rs
+++ b/crates/caperworks/src/replicated_map.rs
@@ -144,6 +144,9 @@
 /// The item of the membership map that lists the agents.
 pub const FALLBACK_MEMBERS: &str = "roster";
 
+/// The item of the membership map that lists the voters.
+pub const VOTERS: &str = "seats";
+
 /// All maps, in the order of [`MapName::index`].
 pub const ALL_MAPS: [MapName; 4] = [
     MapName::Configuration,
--- a/crates/caperworks/src/replicated_map/lookups.rs
+++ b/crates/caperworks/src/replicated_map/lookups.rs
@@ -8,7 +8,7 @@
     ZoneSettings,
 };
 use crate::partition_fallback::FallbackMembers;
-use crate::replicated_map::{ReplicatedMap, FALLBACK_MEMBERS, FENCE, LIMITS};
+use crate::replicated_map::{ReplicatedMap, FALLBACK_MEMBERS, FENCE, LIMITS, VOTERS};
 use crate::shared_items::items_of_kind;
 
 impl ReplicatedMap {
@@ -27,7 +27,7 @@
 
     /// Returns the voters, if this is the membership map and the system has been bootstrapped.
     pub fn voters(&self) -> Option<&VoterSet> {
-        match &self.items.get("seats")?.value {
+        match &self.items.get(VOTERS)?.value {
             Value::VoterSet { voters } => Some(voters),
             _ => None,
         }
--- a/crates/caperworks/src/slots/log_contents.rs
+++ b/crates/caperworks/src/slots/log_contents.rs
@@ -47,7 +47,7 @@
                 break;
             }
             contents.length += line.length;
-            contents.has_old_format |= line.synced_before.is_none();
+            contents.has_old_format |= line.has_old_format();
             if !line.payload.is_empty() {
                 contents.lines.push(line.payload.to_vec());
             }
--- a/crates/caperworks/src/slots/recovery.rs
+++ b/crates/caperworks/src/slots/recovery.rs
@@ -100,8 +100,7 @@
         // unsynced lines after a broken one, a line appended before them would make them valid again.
         // And a log never mixes formats, because an older release would take the lines in the newer
         // format for a torn tail.
-        let is_full =
-            tail == LogTail::Unsynced || log.has_old_format || newest.synced_before.is_none();
+        let is_full = tail == LogTail::Unsynced || log.has_old_format || newest.has_old_format();
         self.log_length = if is_full {
             self.log_capacity
         } else {
--- a/crates/caperworks/tests/wire_bytes.rs
+++ b/crates/caperworks/tests/wire_bytes.rs
@@ -9,6 +9,8 @@
 use caperworks::consensus::messages::ConsensusMessage;
 use caperworks::consensus::messages::ProposalNumber;
 use caperworks::consensus::messages::Record;
+use caperworks::deregistrations::DeregistrationDigest;
+use caperworks::deregistrations::ReceivedDeregistration;
 use caperworks::disk_frame::read_frame;
 use caperworks::disk_frame::FrameKind;
 use caperworks::disk_frame::Generation;
@@ -92,7 +94,12 @@
 const MESSAGES: &str = include_str!("fixtures/messages-2.hex");
 const CONSENSUS_MESSAGES: &str = include_str!("fixtures/consensus_messages.hex");
 const LOG_RECORDS: &str = include_str!("fixtures/log_records.hex");
+/// Frames of disk formats 1 and 2.
 const FRAMES: &str = include_str!("fixtures/frames.hex");
+const FRAMES_3: &str = include_str!("fixtures/frames-3.hex");
+/// Messages and records with the fields that were added when deregistrations came to disk.
+const DEREGISTRATION_MESSAGES: &str = include_str!("fixtures/deregistration_messages.hex");
+const DEREGISTRATION_RECORDS: &str = include_str!("fixtures/deregistration_records.hex");
 
 /// Parses a fixture file: each line is a name and the bytes in hexadecimal digits.
 fn fixtures(file: &str) -> BTreeMap<&str, Vec<u8>> {
@@ -689,7 +696,13 @@
                 message: consensus_message(),
             },
         ),
-        ("1", Message::QuorumReadRequest { number: 61 }),
+        (
+            "1",
+            Message::QuorumReadRequest {
+                number: 61,
+                deregistrations: None,
+            },
+        ),
         (
             "2",
             Message::QuorumReadResponse {
@@ -697,6 +710,8 @@
                 versions: vec![Version(17)],
                 synced: Some(vec![Version(16)]),
                 shutting_down: None,
+                deregistrations: None,
+                merged_under: None,
             },
         ),
         (
@@ -731,6 +746,7 @@
                 instances: received_heartbeats(),
                 members: received_members(),
                 deregistered: vec![InstanceId::from("cart-2")],
+                deregistrations: None,
             },
         ),
         (
@@ -777,7 +793,13 @@
                 ended: Some(InstanceId::from("cart-2")),
             },
         ),
-        ("17", Message::FactConfirmed { number: 92 }),
+        (
+            "17",
+            Message::FactConfirmed {
+                number: 92,
+                synced: None,
+            },
+        ),
     ]
 }
 
@@ -876,9 +898,68 @@
     );
 }
 
+fn received_deregistrations() -> Vec<ReceivedDeregistration> {
+    vec![ReceivedDeregistration {
+        id: InstanceId::from("cart-2"),
+        age: millis(1500),
+    }]
+}
+
+#[test]
+fn messages_with_deregistrations_keep_their_bytes() {
+    let messages = vec![
+        (
+            "read-request",
+            Message::QuorumReadRequest {
+                number: 61,
+                deregistrations: Some(DeregistrationDigest { count: 1, ids: 7 }),
+            },
+        ),
+        (
+            "read-response",
+            Message::QuorumReadResponse {
+                number: 61,
+                versions: vec![Version(17)],
+                synced: Some(vec![Version(16)]),
+                shutting_down: None,
+                deregistrations: Some(received_deregistrations()),
+                merged_under: Some(Version(3)),
+            },
+        ),
+        (
+            "facts",
+            Message::Facts {
+                instances: Vec::new(),
+                members: Vec::new(),
+                deregistered: vec![InstanceId::from("cart-2")],
+                deregistrations: Some(received_deregistrations()),
+            },
+        ),
+        (
+            "confirmed",
+            Message::FactConfirmed {
+                number: 92,
+                synced: Some(true),
+            },
+        ),
+    ];
+    check(DEREGISTRATION_MESSAGES, messages);
+}
+
+#[test]
+fn log_records_of_deregistrations_keep_their_bytes() {
+    let ids = vec![InstanceId::from("cart-2"), InstanceId::from("cart-7")];
+    let deregistered = Record::Deregistered { ids: ids.clone() };
+    let forgotten = Record::DeregistrationsForgotten { ids };
+    check(
+        DEREGISTRATION_RECORDS,
+        vec![("record-3", deregistered), ("record-4", forgotten)],
+    );
+}
+
 #[test]
 fn frames_of_slots_and_log_keep_their_bytes() {
-    let stored = fixtures(FRAMES);
+    let stored = fixtures(FRAMES_3);
     let payload = b"the state of a controller".to_vec();
     let line = b"one record".to_vec();
     let mut disk = SlotDisk::new(4096, 4096);
@@ -917,6 +998,24 @@
     assert_eq!(SlotDisk::new(4096, 4096).recover(&image), found);
 }
 
+/// Format 2 has no records of deregistrations. A log must not mix formats, so a complete slot is written next.
+#[test]
+fn frames_of_the_second_disk_format_are_read_and_continued_with_a_slot() {
+    let stored = fixtures(FRAMES);
+    let frame = |name: &str| stored.get(name).expect("a frame").clone();
+    let image = DiskImage {
+        slots: [frame("slot"), vec![0; 64]],
+        log: [frame("log-head"), frame("log-line")].concat(),
+    };
+    let mut disk = SlotDisk::new(4096, 4096);
+    let found = Recovery::Found {
+        state: b"the state of a controller".to_vec(),
+        lines: vec![b"one record".to_vec()],
+    };
+    assert_eq!(disk.recover(&image), found);
+    assert_eq!(disk.append(&[b"another record".to_vec()]), None);
+}
+
 #[test]
 fn frames_of_the_first_disk_format_are_read() {
     let stored = fixtures(FRAMES);
--- a/crates/controller/src/consensus/founding.rs
+++ b/crates/controller/src/consensus/founding.rs
@@ -28,7 +28,7 @@
 use caperworks::identifiers::{ChangeId, NodeId, Version, Zone};
 use caperworks::map_items::{Value, VoterEntry, VoterSet};
 use caperworks::messages::{Founding, FoundingEvidence, Message};
-use caperworks::replicated_map::{Change, MapName, Put, ALL_MAPS};
+use caperworks::replicated_map::{Change, MapName, Put, ALL_MAPS, VOTERS};
 
 /// Interval between requests to the other controllers while this one knows no membership or is not a voter.
 const SEED_REQUEST_INTERVAL: Duration = Duration::from_millis(400);
@@ -291,7 +291,7 @@
     let change = Change {
         id: change_id(founding),
         puts: vec![Put {
-            key: "seats".to_string(),
+            key: VOTERS.to_string(),
             expected: Some(Version(0)),
             value: Some(Value::VoterSet {
                 voters: founding.voters.clone(),
--- a/crates/controller/src/consensus/quorum_reads.rs
+++ b/crates/controller/src/consensus/quorum_reads.rs
@@ -9,9 +9,11 @@
 use std::time::Duration;
 
 use crate::consensus::snapshot_transfer;
+use crate::deregistrations;
 use crate::fault_injection::FaultInjection;
 use crate::state::ControllerState;
 use caperworks::consensus::settlement::VoterReport;
+use caperworks::deregistrations::DeregistrationDigest;
 use caperworks::identifiers::{NodeId, Version};
 use caperworks::leadership::MAX_LAG_PERIOD;
 use caperworks::map_items::VoterSet;
@@ -38,8 +40,13 @@
     let voters = state.map(MapName::Membership).voter_addresses(false);
     let mut recipients: BTreeSet<SocketAddr> = voters.into_iter().collect();
     recipients.extend(state.other_controllers());
+    let deregistrations = deregistrations::digest(state);
     for to in recipients {
-        state.send(to, Message::QuorumReadRequest { number });
+        let message = Message::QuorumReadRequest {
+            number,
+            deregistrations,
+        };
+        state.send(to, message);
     }
     number
 }
@@ -48,7 +55,12 @@
 ///
 /// A node without a membership does not respond, and neither does a node with a received snapshot that is
 /// not synced yet: the snapshot does not count as stored.
-pub fn handle_request(state: &mut ControllerState, reply_to: SocketAddr, number: u64) {
+pub fn handle_request(
+    state: &mut ControllerState,
+    reply_to: SocketAddr,
+    number: u64,
+    known_deregistrations: Option<DeregistrationDigest>,
+) {
     if !state.is_founded() || state.storage.has_unsynced_snapshot() {
         return;
     }
@@ -63,6 +75,8 @@
         versions,
         synced: Some(synced),
         shutting_down: state.stopping_since.is_some().then_some(true),
+        deregistrations: deregistrations::report_to(state, known_deregistrations),
+        merged_under: deregistrations::merged_and_synced_under(state),
     };
     state.send(reply_to, response);
 }
@@ -135,8 +149,9 @@
         .filter(|voters| voters.entry(from).is_some())
         .map(VoterSet::majority);
     if let Some(majority) = majority {
-        state
-            .quorum_reads
-            .handle_response(from, number, versions, majority);
+        let quorum_reads = &mut state.quorum_reads;
+        if quorum_reads.handle_response(from, number, versions, majority) {
+            deregistrations::record_merged_majority(state);
+        }
     }
 }
--- a/crates/controller/src/fact_exchange.rs
+++ b/crates/controller/src/fact_exchange.rs
@@ -1,14 +1,15 @@
-//! Exchange of facts about instances and members among controllers. These facts are not stored on disk.
+//! Exchange of facts about instances and members among controllers. Of these facts only deregistrations
+//! are stored on disk.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::instance_calls::record_deregistration;
+use crate::deregistrations;
 use crate::state::ControllerState;
-use crate::state_machine::event::DeregistrationSource;
+use caperworks::deregistrations::ReceivedDeregistration;
 use caperworks::facts::{ReceivedHeartbeat, ReceivedMember};
-use caperworks::identifiers::{InstanceId, NodeId};
+use caperworks::identifiers::NodeId;
 use caperworks::leadership::SUSPICION_TIMEOUT;
 use caperworks::messages::Message;
 
@@ -91,15 +92,20 @@
 
 fn send_facts_after(state: &mut ControllerState, to: SocketAddr, offset: SentOffsets) {
     let instances = state.instances.after(state.now, offset.instances);
-    let deregistered = state.instances.ended_after(state.now, offset.instances);
+    let deregistrations = state.instances.deregistrations();
+    let deregistrations = deregistrations.after(state.now, offset.instances);
     let members = state.members.after(state.now, offset.members);
-    if instances.is_empty() && members.is_empty() && deregistered.is_empty() {
+    if instances.is_empty() && members.is_empty() && deregistrations.is_empty() {
         return;
     }
     let message = Message::Facts {
         instances,
         members,
-        deregistered,
+        deregistered: deregistrations
+            .iter()
+            .map(|received| received.id.clone())
+            .collect(),
+        deregistrations: Some(deregistrations),
     };
     state.send(to, message);
 }
@@ -112,7 +118,7 @@
     reply_to: SocketAddr,
     instances: Vec<ReceivedHeartbeat>,
     members: Vec<ReceivedMember>,
-    deregistered: Vec<InstanceId>,
+    deregistrations: Vec<ReceivedDeregistration>,
     age: Option<Duration>,
 ) {
     let Some(age) = age else {
@@ -121,9 +127,12 @@
     for received in instances {
         state.instances.handle(state.now, &received.aged(age));
     }
-    for id in deregistered {
-        record_deregistration(state, &id, DeregistrationSource::Peer(reply_to));
-    }
+    let deregistrations = deregistrations.into_iter();
+    deregistrations::merge(
+        state,
+        reply_to,
+        deregistrations.map(|received| received.aged(age)),
+    );
     for received in members {
         state.members.handle(state.now, &received.aged(age));
     }
--- a/crates/controller/src/fault_injection.rs
+++ b/crates/controller/src/fault_injection.rs
@@ -39,6 +39,8 @@
     ConfirmsWithoutAgents,
     /// Instances' calls are acknowledged by a controller without contact to a majority.
     AcknowledgesWithoutQuorum,
+    /// Deregistrations are acknowledged and kept in memory alone.
+    UnsyncedDeregistrations,
     /// Reads are served after a quorum read that began before they arrived.
     EarlyQuorumReads,
     /// Changes without a version are accepted regardless of their age.
--- a/crates/controller/src/instance_calls.rs
+++ b/crates/controller/src/instance_calls.rs
@@ -3,17 +3,21 @@
 //! A call is acknowledged only while this controller has recent contact to a majority of the voters, so that
 //! a partitioned controller immediately sends its instances elsewhere. What limits the requests that an instance
 //! may get must not be lost with one controller: a drain, the begin of a warm-up and a deregistration are
-//! acknowledged after a majority of the voters has them.
+//! acknowledged after a majority of the voters has confirmed them, among them enough controllers. Instances repeat
+//! the first two with each heartbeat, so memory is enough; a deregistration has to be on the controllers' disks.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::deregistrations;
+use crate::deregistrations::synced_confirmation;
 use crate::fault_injection::FaultInjection;
 use crate::leadership::ownership;
 use crate::state::ControllerState;
 use crate::state_machine::event::{DeregistrationSource, Event};
 use crate::state_machine::operator_messages::OperatorResponse;
+use caperworks::deregistrations::ReceivedDeregistration;
 use caperworks::envelope_clock::Echo;
 use caperworks::facts::{Heartbeat, InstanceState, ReceivedHeartbeat};
 use caperworks::identifiers::{InstanceId, NodeId};
@@ -24,6 +28,8 @@
 
 /// Time that a heartbeat waits for the owner manager's response.
 const OWNER_MANAGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Number of controllers that must confirm a fact, unless the options require another or there are fewer.
+const DEFAULT_CONFIRMING_CONTROLLERS: usize = 2;
 /// Time that a call waits for confirmations. Instances wait for at most one second.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -34,16 +40,19 @@
     /// Identifies the call in the responses of other controllers.
     number: u64,
     until: Duration,
-    /// The number of other voters that must have stored the fact.
-    confirmations_needed: usize,
+    needed: ConfirmationQuorum,
+    /// The voters that have confirmed the fact, and the controllers among them. If the fact has to be on disk,
+    /// only controllers count that have synced it.
     confirmed_by: BTreeSet<NodeId>,
+    confirmed_by_controllers: BTreeSet<NodeId>,
     awaits_owner_manager: bool,
     response: HeartbeatResponse,
 }
 
 impl PendingInstanceCall {
     fn is_confirmed(&self) -> bool {
-        self.confirmed_by.len() >= self.confirmations_needed
+        self.confirmed_by.len() >= self.needed.voters
+            && self.confirmed_by_controllers.len() >= self.needed.controllers
     }
 
     fn is_complete(&self) -> bool {
@@ -51,10 +60,28 @@
     }
 }
 
+/// Who must have confirmed a fact before it is acknowledged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+struct ConfirmationQuorum {
+    /// Number of voters: a majority, so that each later majority includes one of them.
+    voters: usize,
+    /// Number of controllers among them: one more than may be lost at once.
+    controllers: usize,
+    durability: Durability,
+}
+
+/// Where a controller must have stored a fact that it confirms.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum Durability {
+    #[default]
+    Memory,
+    Disk,
+}
+
 /// What a call requires before it is acknowledged.
 #[derive(Debug, Clone, Copy)]
 struct Requirements {
-    confirmations: usize,
+    confirmations: ConfirmationQuorum,
     owner_manager: Option<SocketAddr>,
 }
 
@@ -107,14 +134,15 @@
     let is_draining = received.heartbeat.state == InstanceState::Draining;
     let requirements = Requirements {
         confirmations: match is_draining || begins_warm_up {
-            true => confirmations_needed(state),
-            false => 0,
+            true => confirmation_quorum(state, Durability::Memory),
+            false => ConfirmationQuorum::default(),
         },
         owner_manager: required_owner_manager(state, &received.heartbeat, &response),
     };
     let number = begin_call(state, ticket, requirements, response);
-    if requirements.confirmations > 0 {
+    if requirements.confirmations != ConfirmationQuorum::default() {
         request_confirmations(state, number, Fact::Limit(received.clone()));
+        handle_confirmation(state, state.node, number, None);
     }
     if let Some(to) = requirements.owner_manager {
         let ticket = number;
@@ -144,31 +172,23 @@
 
 /// Deregisters an incarnation of an instance that reports its own end.
 pub fn handle_deregistration(state: &mut ControllerState, ticket: u64, id: InstanceId) {
-    if !may_acknowledge(state) {
+    if !may_acknowledge(state) || !deregistrations::can_record(state, &id) {
         reject(state, ticket);
         return;
     }
-    record_deregistration(state, &id, DeregistrationSource::Instance);
     let requirements = Requirements {
-        confirmations: confirmations_needed(state),
+        confirmations: confirmation_quorum(state, Durability::Disk),
         owner_manager: None,
     };
     let number = begin_call(state, ticket, requirements, HeartbeatResponse::default());
-    if requirements.confirmations > 0 {
-        request_confirmations(state, number, Fact::Deregistered(id));
-    }
-}
-
-/// Records that an instance deregistered.
-pub fn record_deregistration(
-    state: &mut ControllerState,
-    id: &InstanceId,
-    source: DeregistrationSource,
-) {
-    if state.instances.record_termination(state.now, id) {
-        let id = id.clone();
-        state.log_event(Event::InstanceDeregistered { id, source });
-    }
+    let received = ReceivedDeregistration {
+        id: id.clone(),
+        age: Duration::ZERO,
+    };
+    let own_confirmation = synced_confirmation(state.options.control, number);
+    let source = DeregistrationSource::Instance;
+    deregistrations::record(state, &received, source, vec![own_confirmation]);
+    request_confirmations(state, number, Fact::Deregistered(id));
 }
 
 /// Acknowledges a call, or keeps it pending until its requirements are met. Returns the call's number.
@@ -180,7 +200,7 @@
 ) -> u64 {
     state.last_instance_call += 1;
     let number = state.last_instance_call;
-    let timeout = match requirements.confirmations {
+    let timeout = match requirements.confirmations.voters {
         0 => OWNER_MANAGER_TIMEOUT,
         _ => CONFIRMATION_TIMEOUT,
     };
@@ -188,8 +208,9 @@
         ticket,
         number,
         until: state.now + timeout,
-        confirmations_needed: requirements.confirmations,
+        needed: requirements.confirmations,
         confirmed_by: BTreeSet::new(),
+        confirmed_by_controllers: BTreeSet::new(),
         awaits_owner_manager: requirements.owner_manager.is_some(),
         response,
     };
@@ -210,13 +231,24 @@
     state.injects(FaultInjection::AcknowledgesWithoutQuorum) || state.has_quorum_contact()
 }
 
-/// Returns how many other voters form a majority together with this controller.
-fn confirmations_needed(state: &ControllerState) -> usize {
+/// Returns who must have confirmed a fact before it is acknowledged.
+///
+/// As many controllers as the options require; by default two, so that the fact is not lost with one of them.
+fn confirmation_quorum(state: &ControllerState, durability: Durability) -> ConfirmationQuorum {
     if state.injects(FaultInjection::AcknowledgesWithoutQuorum) {
-        return 0;
+        return ConfirmationQuorum::default();
+    }
+    let voters = state.voters();
+    let controllers = voters.map_or(0, |voters| {
+        let entries = voters.entries.iter();
+        entries.filter(|voter| voter.controller).count()
+    });
+    let required = state.options.core.synced_controllers;
+    ConfirmationQuorum {
+        voters: voters.map_or(0, VoterSet::majority),
+        controllers: required.unwrap_or(DEFAULT_CONFIRMING_CONTROLLERS.min(controllers)),
+        durability,
     }
-    let majority = state.voters().map_or(0, VoterSet::majority);
-    majority.saturating_sub(usize::from(state.is_voter()))
 }
 
 /// Returns the owner manager that must renew the leases of this heartbeat, if it is another controller.
@@ -295,24 +327,40 @@
     if let Some(received) = heartbeat {
         state.instances.handle(state.now, &received.aged(age));
     }
-    if let Some(id) = ended {
-        record_deregistration(state, &id, DeregistrationSource::Peer(reply_to));
+    match ended {
+        Some(id) if deregistrations::can_record(state, &id) => {
+            let received = ReceivedDeregistration { id, age };
+            let confirmation = synced_confirmation(reply_to, number);
+            let source = DeregistrationSource::Peer(reply_to);
+            deregistrations::record(state, &received, source, vec![confirmation]);
+        }
+        Some(_) => {}
+        None => {
+            let synced = None;
+            state.send(reply_to, Message::FactConfirmed { number, synced });
+        }
     }
-    state.send(reply_to, Message::FactConfirmed { number });
 }
 
-/// Counts the confirmation of another controller, and acknowledges the call if there are enough.
+/// Counts a confirmation, and acknowledges the call if there are enough.
 ///
 /// Only voters count, because a majority of them intersects every later majority.
-pub fn handle_confirmation(state: &mut ControllerState, from: NodeId, number: u64) {
-    let is_voter = state
-        .voters()
-        .is_some_and(|voters| voters.entry(from).is_some());
-    if !is_voter {
+pub fn handle_confirmation(
+    state: &mut ControllerState,
+    from: NodeId,
+    number: u64,
+    synced: Option<bool>,
+) {
+    let voter = state.voters().and_then(|voters| voters.entry(from));
+    let Some(is_controller) = voter.map(|voter| voter.controller) else {
         return;
-    }
+    };
     if let Some(call) = pending_call(state, number) {
         call.confirmed_by.insert(from);
+        let is_stored = call.needed.durability == Durability::Memory || synced == Some(true);
+        if is_controller && is_stored {
+            call.confirmed_by_controllers.insert(from);
+        }
         acknowledge_complete_calls(state);
     }
 }
--- a/crates/controller/src/leadership/handover.rs
+++ b/crates/controller/src/leadership/handover.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::leadership::own_changes::{propose_term, term_key};
-use crate::leadership::voter_candidates::controller_candidate;
+use crate::leadership::voter_candidates::has_successor;
 use crate::state::parts::ProposalOrigin;
 use crate::state::replicas::MAX_REPLICA_LAG;
 use crate::state::ControllerState;
@@ -68,7 +68,7 @@
     };
     let others = other_controller_voters(state).count();
     let is_needed = others < state.options.core.controller_voters;
-    is_needed && controller_candidate(state, voters).is_some()
+    is_needed && has_successor(state, voters)
 }
 
 fn other_controller_voters(state: &ControllerState) -> impl Iterator<Item = NodeId> + '_ {
--- a/crates/controller/src/leadership/voter_candidates.rs
+++ b/crates/controller/src/leadership/voter_candidates.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::deregistrations;
 use crate::fault_injection::FaultInjection;
 use crate::state::parts::KnownController;
 use crate::state::replicas::MAX_REPLICA_LAG;
@@ -35,22 +36,35 @@
         .filter(|(_, seen)| !state.shutting_down.contains(&seen.node))
 }
 
-/// Returns a live controller that is not a voter and keeps up with the changes: it has synced all maps to disk
+/// Returns the live controllers that are not voters and keep up with the changes: they have synced all maps to disk
 /// as this controller had them [`MAX_REPLICA_LAG`] ago.
 ///
-/// What it lacks is not at risk: under the voters before, each accepted change is on the disks of a majority,
+/// What they lack is not at risk: under the voters before, each accepted change is on the disks of a majority,
 /// and a new voter votes only on the change after the last one that it has.
-pub(super) fn controller_candidate(
-    state: &ControllerState,
-    voters: &VoterSet,
-) -> Option<VoterEntry> {
+fn synced_non_voters<'state>(
+    state: &'state ControllerState,
+    voters: &'state VoterSet,
+) -> impl Iterator<Item = (&'state SocketAddr, &'state KnownController)> {
     let max_lag = match state.injects(FaultInjection::CandidatesNeedPresentVersions) {
         true => Duration::ZERO,
         false => MAX_REPLICA_LAG,
     };
     let required = state.versions_before(max_lag);
-    non_voters(state, voters)
-        .find(|(_, seen)| state.has_synced(seen.node, &required))
+    non_voters(state, voters).filter(move |(_, seen)| state.has_synced(seen.node, &required))
+}
+
+/// Returns whether a controller that is not a voter can soon become one.
+pub(super) fn has_successor(state: &ControllerState, voters: &VoterSet) -> bool {
+    synced_non_voters(state, voters).next().is_some()
+}
+
+/// Returns a controller that can become a voter now: it also has the deregistrations of the present voters.
+pub(super) fn controller_candidate(
+    state: &ControllerState,
+    voters: &VoterSet,
+) -> Option<VoterEntry> {
+    synced_non_voters(state, voters)
+        .find(|(_, seen)| deregistrations::has_merged(state, seen.node))
         .map(|(address, seen)| VoterEntry {
             node: seen.node,
             address: *address,
--- a/crates/controller/src/leadership/voter_management.rs
+++ b/crates/controller/src/leadership/voter_management.rs
@@ -18,7 +18,7 @@
 use caperworks::consensus::proposer::ensure_recovered;
 use caperworks::identifiers::{Epoch, NodeId, Version};
 use caperworks::map_items::{Value, VoterEntry, VoterSet};
-use caperworks::replicated_map::{Change, MapName, ALL_MAPS, FALLBACK_MEMBERS};
+use caperworks::replicated_map::{Change, MapName, ALL_MAPS, FALLBACK_MEMBERS, VOTERS};
 
 /// A witness that has not responded for this long is replaced: it has lost its state or is about to.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(4000);
@@ -26,8 +26,6 @@
 const REJECTION_LOG_INTERVAL: Duration = Duration::from_secs(5);
 /// Interval between quorum reads while a change of voters waits for the voters' reports.
 const SETTLEMENT_READ_INTERVAL: Duration = Duration::from_millis(50);
-/// The key of the membership item that lists the voters.
-const VOTERS: &str = "seats";
 
 /// A change that adds or removes one voter.
 struct VoterChange {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`state_machine`] handles inputs and returns outputs without any I/O; [`state`] is its state. Inputs go to
 //! modules with one concern each: [`consensus`], [`leadership`], [`renewal`] (leases of followers),
 //! [`fact_exchange`] (instances and members among controllers), [`agents`] (fallback members, and the versions
-//! that agents have), [`instance_calls`], [`operator_calls`] and [`reads`]. [`daemon`] runs the state machine
+//! that agents have), [`instance_calls`], [`deregistrations`], [`operator_calls`] and [`reads`]. [`daemon`] runs the state machine
 //! as a process, and [`operator_json`] reads and writes the JSON of the operators' API.
 
 #![warn(missing_docs)]
@@ -12,6 +12,7 @@
 pub mod agents;
 pub mod consensus;
 pub mod daemon;
+pub mod deregistrations;
 pub mod fact_exchange;
 pub mod fault_injection;
 pub mod instance_calls;
--- a/crates/controller/src/state/mod.rs
+++ b/crates/controller/src/state/mod.rs
@@ -6,6 +6,7 @@
 
 use slab::Slab;
 
+use crate::deregistrations::DeregistrationStorage;
 use crate::fact_exchange::FactExchange;
 use crate::instance_calls::PendingInstanceCall;
 use crate::operator_calls::UnversionedChange;
@@ -25,7 +26,7 @@
 use caperworks::consensus::proposer::Proposer;
 use caperworks::consensus::voter::Voter;
 use caperworks::envelope_clock::EnvelopeClock;
-use caperworks::identifiers::{mix, ChangeId, NodeId, RandomSource, Version};
+use caperworks::identifiers::{mix, ChangeId, InstanceId, NodeId, RandomSource, Version};
 use caperworks::instances::Instances;
 use caperworks::leadership::{LeadershipWatch, Liveness, LEADERSHIPS_BY_URGENCY};
 use caperworks::leases::{QuorumRead, QuorumReads, DRIFT_MARGIN, LEASE_DURATION};
@@ -52,6 +53,8 @@
         2 founding: Option<Founding>,
         /// Whether this node may take part in the founding, while it knows no membership.
         3 may_found: Option<bool>,
+        /// The instances that have deregistered, if there are any.
+        4 deregistered: Option<Vec<InstanceId>>,
     }
 }
 
@@ -60,7 +63,8 @@
 
 /// The complete state of one controller.
 ///
-/// State that must survive a restart is in `voter` and `founding.proposed`; everything else is rebuilt from
+/// State that must survive a restart is in `voter`, `founding.proposed` and the deregistrations of `instances`;
+/// everything else is rebuilt from
 /// messages of other nodes.
 pub struct ControllerState {
     /// The options that the controller was started with.
@@ -108,6 +112,8 @@
 
     /// The registered instances, whose heartbeats arrive here or at another controller.
     pub instances: Instances,
+    /// The deregistrations' state on disk, and whether those of a majority of the voters are merged.
+    pub deregistration_storage: DeregistrationStorage,
     /// Instances' calls that wait for responses of other controllers.
     pub instance_calls: Vec<PendingInstanceCall>,
     /// The number of the last instance call.
@@ -204,6 +210,7 @@
             liveness: Liveness::default(),
             next_quorum_read_at: Duration::ZERO,
             instances,
+            deregistration_storage: DeregistrationStorage::default(),
             instance_calls: Vec::new(),
             last_instance_call: 0,
             reads: Reads::default(),
--- a/crates/controller/src/state_machine/dispatch.rs
+++ b/crates/controller/src/state_machine/dispatch.rs
@@ -6,8 +6,9 @@
 use crate::consensus::{founding, quorum_reads};
 use crate::state::parts::KnownController;
 use crate::state::ControllerState;
-use crate::{consensus, fact_exchange, instance_calls, renewal};
-use caperworks::identifiers::NodeId;
+use crate::{consensus, deregistrations, fact_exchange, instance_calls, renewal};
+use caperworks::deregistrations::ReceivedDeregistration;
+use caperworks::identifiers::{InstanceId, NodeId};
 use caperworks::messages::{Envelope, Message};
 
 /// Handles a message from another node, or from this one.
@@ -71,15 +72,21 @@
         Message::ConsensusMessage { message } => {
             consensus::handle_message(state, from, reply_to, message)
         }
-        Message::QuorumReadRequest { number } => {
-            quorum_reads::handle_request(state, reply_to, number)
-        }
+        Message::QuorumReadRequest {
+            number,
+            deregistrations,
+        } => quorum_reads::handle_request(state, reply_to, number, deregistrations),
         Message::QuorumReadResponse {
             number,
             versions,
             synced,
             shutting_down,
+            deregistrations,
+            merged_under,
         } => {
+            // Merged before the response counts, so that a complete quorum read has brought all of them.
+            deregistrations::merge(state, reply_to, deregistrations.into_iter().flatten());
+            deregistrations::record_reported_merge(state, from, merged_under);
             quorum_reads::record_shutdown(state, from, shutting_down);
             quorum_reads::record_settlement(state, from, &versions, synced.as_deref());
             quorum_reads::record_versions(state, from, &versions, synced);
@@ -120,6 +127,15 @@
     }
 }
 
+/// Returns reports of deregistrations whose age is unknown: they count as new.
+fn without_ages(deregistered: Vec<InstanceId>) -> Vec<ReceivedDeregistration> {
+    let age = Duration::ZERO;
+    deregistered
+        .into_iter()
+        .map(|id| ReceivedDeregistration { id, age })
+        .collect()
+}
+
 /// Handles messages about instances and members.
 fn handle_facts(
     state: &mut ControllerState,
@@ -133,7 +149,12 @@
             instances,
             members,
             deregistered,
-        } => fact_exchange::handle_facts(state, reply_to, instances, members, deregistered, age),
+            deregistrations,
+        } => {
+            // An earlier release reports no ages.
+            let deregistrations = deregistrations.unwrap_or_else(|| without_ages(deregistered));
+            fact_exchange::handle_facts(state, reply_to, instances, members, deregistrations, age);
+        }
         Message::ConfirmFact {
             number,
             heartbeat,
@@ -141,8 +162,8 @@
         } => instance_calls::handle_confirmation_request(
             state, reply_to, number, heartbeat, ended, age,
         ),
-        Message::FactConfirmed { number } => {
-            instance_calls::handle_confirmation(state, from, number);
+        Message::FactConfirmed { number, synced } => {
+            instance_calls::handle_confirmation(state, from, number, synced);
         }
         Message::HeartbeatForward { ticket, received } => {
             instance_calls::handle_forwarded_heartbeat(state, reply_to, ticket, received, age);
--- a/crates/controller/src/state_machine/event.rs
+++ b/crates/controller/src/state_machine/event.rs
@@ -14,8 +14,10 @@
 pub enum DeregistrationSource {
     /// The instance called this controller.
     Instance,
-    /// The controller with this address told it.
+    /// The controller or witness with this address reported it.
     Peer(SocketAddr),
+    /// It was on this controller's disk at the start.
+    Disk,
 }
 
 impl fmt::Display for DeregistrationSource {
@@ -23,6 +25,7 @@
         match self {
             Self::Instance => write!(formatter, "from the instance"),
             Self::Peer(address) => write!(formatter, "from {address}"),
+            Self::Disk => write!(formatter, "from disk"),
         }
     }
 }
--- a/crates/controller/src/state_machine/mod.rs
+++ b/crates/controller/src/state_machine/mod.rs
@@ -12,7 +12,7 @@
 use crate::state::ControllerState;
 use crate::state_machine::input::ControllerInput;
 use crate::state_machine::output::ControllerOutput;
-use crate::{agents, instance_calls, operator_calls, reads};
+use crate::{agents, deregistrations, instance_calls, operator_calls, reads};
 use caperworks::identifiers::NodeId;
 use caperworks::messages::{Envelope, Message};
 use caperworks::slots::DiskImage;
@@ -69,6 +69,7 @@
     pub fn input(&mut self, now: Duration, input: ControllerInput) -> Vec<ControllerOutput> {
         let state = &mut self.state;
         advance_clock(state, now);
+        deregistrations::restore(state);
         match input {
             ControllerInput::Tick => ticks::tick(state),
             ControllerInput::MessageReceived { envelope } => {
--- a/crates/controller/src/state_machine/startup.rs
+++ b/crates/controller/src/state_machine/startup.rs
@@ -1,5 +1,7 @@
 //! Startup: builds the controller's state from the contents of its disk.
 
+use std::collections::BTreeSet;
+
 use crate::state::options::ControllerOptions;
 use crate::state::{ControllerState, StoredState};
 use crate::state_machine::event::Event;
@@ -8,7 +10,7 @@
 use caperworks::catch_up::CatchUpReceiver;
 use caperworks::consensus::messages::Record;
 use caperworks::consensus::voter::Voter;
-use caperworks::identifiers::{mix, NodeId, RandomSource};
+use caperworks::identifiers::{mix, InstanceId, NodeId, RandomSource};
 use caperworks::messages::Founding;
 use caperworks::replicated_map::ALL_MAPS;
 use caperworks::slots::{DiskImage, Recovery, SlotDisk};
@@ -19,6 +21,7 @@
     founding: Option<Founding>,
     may_found: bool,
     voter: Voter,
+    deregistered: BTreeSet<InstanceId>,
     disk: SlotDisk,
     /// Whether no usable state was found, so that a complete slot must be written first.
     is_fresh: bool,
@@ -33,6 +36,7 @@
             founding: None,
             may_found: options.core.may_bootstrap,
             voter: Voter::default(),
+            deregistered: BTreeSet::new(),
             disk: SlotDisk::new(options.slot_capacity, options.log_capacity),
             is_fresh: true,
             damage: Vec::new(),
@@ -46,9 +50,11 @@
         self.founding = stored.founding;
         self.may_found |= stored.may_found == Some(true);
         self.voter = Voter::restored(stored.replicas);
+        self.deregistered
+            .extend(stored.deregistered.into_iter().flatten());
         for line in log {
             match minicbor::decode::<Record>(&line) {
-                Ok(record) => self.voter.replay(record),
+                Ok(record) => self.replay(record),
                 Err(_) => self.damage.push(Event::DiskDamaged {
                     why: "a log record cannot be decoded".to_string(),
                 }),
@@ -57,6 +63,18 @@
     }
 }
 
+impl RecoveredState {
+    fn replay(&mut self, record: Record) {
+        match record {
+            Record::Deregistered { ids } => self.deregistered.extend(ids),
+            Record::DeregistrationsForgotten { ids } => {
+                self.deregistered.retain(|id| !ids.contains(id));
+            }
+            record => self.voter.replay(record),
+        }
+    }
+}
+
 /// Recovers the state from the slots and the log.
 ///
 /// A disk that is damaged anywhere is treated as empty, because a voter that has lost some of its promises
@@ -112,6 +130,7 @@
         catch_up,
         random,
     );
+    state.deregistration_storage.recovered = recovered.deregistered.into_iter().collect();
     state.founding.proposed = recovered.founding;
     state.founding.may_found = recovered.may_found;
     for event in recovered.damage {
--- a/crates/controller/src/state_machine/storage.rs
+++ b/crates/controller/src/state_machine/storage.rs
@@ -11,7 +11,7 @@
 use crate::state_machine::event::Event;
 use crate::state_machine::output::ControllerOutput;
 use caperworks::consensus::messages::Record;
-use caperworks::identifiers::Version;
+use caperworks::identifiers::{InstanceId, Version};
 use caperworks::slots::{DiskWrite, SlotDisk};
 
 /// Time after a failed write until the controller tries to write a complete slot.
@@ -42,6 +42,8 @@
     unsynced_slot: Option<u64>,
     /// The ticket of the write of the last received snapshot, until it is synced.
     unsynced_snapshot: Option<u64>,
+    /// The ticket of the last write of a deregistration, until it or a later write is synced.
+    unsynced_deregistration: Option<u64>,
 }
 
 impl Storage {
@@ -56,6 +58,7 @@
             retry_at: Duration::ZERO,
             unsynced_slot: None,
             unsynced_snapshot: None,
+            unsynced_deregistration: None,
         }
     }
 
@@ -74,6 +77,11 @@
         self.unsynced_snapshot.is_some()
     }
 
+    /// Returns whether a deregistration that this node knows is not synced yet.
+    pub fn has_unsynced_deregistration(&self) -> bool {
+        self.unsynced_deregistration.is_some()
+    }
+
     /// Returns the versions that a restart would recover from disk.
     pub fn synced_versions(&self) -> &[Version] {
         &self.synced_versions
@@ -98,6 +106,8 @@
         }
         self.unsynced_slot.take_if(|slot| *slot <= ticket);
         self.unsynced_snapshot.take_if(|write| *write <= ticket);
+        self.unsynced_deregistration
+            .take_if(|write| *write <= ticket);
         self.disk.record_sync(ticket);
         released
     }
@@ -152,6 +162,7 @@
             replicas: self.voter.replicas().to_vec(),
             founding: self.founding.proposed.clone(),
             may_found: (self.founding.may_found && !self.is_founded()).then_some(true),
+            deregistered: self.deregistered_ids(),
         };
         // Encoding these types into memory cannot fail.
         minicbor::to_vec(stored).expect("state encodes")
@@ -206,6 +217,23 @@
         }
     }
 
+    /// Writes to disk that instances deregistered, and releases the outputs once that is synced.
+    pub fn write_deregistrations(&mut self, ids: Vec<InstanceId>, outputs: Vec<ControllerOutput>) {
+        let storage = &mut self.storage;
+        storage.unsynced_deregistration = Some(storage.last_ticket + 1);
+        self.write_records(&[Record::Deregistered { ids }], outputs);
+    }
+
+    /// Returns the instances that have deregistered, for a slot.
+    fn deregistered_ids(&self) -> Option<Vec<InstanceId>> {
+        let known = self.instances.deregistrations().ids();
+        let ids: Vec<InstanceId> = known
+            .chain(&self.deregistration_storage.recovered)
+            .cloned()
+            .collect();
+        (!ids.is_empty()).then_some(ids)
+    }
+
     /// Begins a write, and releases the outputs once it is synced.
     fn begin_write(&mut self, writes: Vec<DiskWrite>, mut outputs: Vec<ControllerOutput>) {
         let versions = self.versions();
--- a/crates/controller/src/state_machine/ticks.rs
+++ b/crates/controller/src/state_machine/ticks.rs
@@ -4,7 +4,7 @@
 use crate::state::ControllerState;
 use crate::state_machine::event::Event;
 use crate::state_machine::{shutdown, storage};
-use crate::{fact_exchange, instance_calls, leadership};
+use crate::{deregistrations, fact_exchange, instance_calls, leadership};
 use caperworks::identifiers::NodeId;
 
 /// Does all periodic work that is due.
@@ -14,6 +14,7 @@
     founding::tick(state);
     quorum_reads::tick(state);
     snapshot_transfer::tick(state);
+    deregistrations::forget_old(state);
     expire_instances_and_members(state);
     mark_suspected_members(state);
     instance_calls::respond_to_timed_out_calls(state);
--- a/crates/controller/tests/fleet/fleet.rs
+++ b/crates/controller/tests/fleet/fleet.rs
@@ -28,6 +28,8 @@
     pub image: DiskImage,
     /// Whether the disk hangs: writes are accepted and never carried out.
     pub disk_hangs: bool,
+    /// The ticket of the last write since the last start, which also is the number of these writes.
+    pub last_write: u64,
     pub core: CorePolicy,
 }
 
@@ -77,6 +79,7 @@
                 machine: None,
                 image: DiskImage::default(),
                 disk_hangs: false,
+                last_write: 0,
                 core,
             });
             fleet.start(index);
@@ -122,6 +125,7 @@
             machine: None,
             image: DiskImage::default(),
             disk_hangs: false,
+            last_write: 0,
             core: CorePolicy {
                 may_bootstrap: false,
                 ..core
@@ -154,6 +158,7 @@
                     self.wire.push_back((to, machine.seal(to, message)));
                 }
                 ControllerOutput::Write { ticket, writes } => {
+                    self.nodes[index].last_write = ticket;
                     if self.nodes[index].disk_hangs {
                         continue;
                     }
@@ -176,6 +181,11 @@
         }
     }
 
+    /// Returns the ticket of a controller's last write, which also is the number of its writes.
+    pub fn last_write_ticket(&self, index: usize) -> u64 {
+        self.nodes[index].last_write
+    }
+
     pub fn input(&mut self, index: usize, input: ControllerInput) -> Vec<ControllerOutput> {
         let now = self.now;
         let machine = self.nodes[index].machine.as_mut();
--- a/crates/controller/tests/fleet/main.rs
+++ b/crates/controller/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Complete controllers in memory: founding, lost disks, partitions, changes of voters, and instances' calls.
 
+mod deregistrations;
 mod fleet;
 mod follower;
 mod founding;
--- a/crates/controller/tests/stored_state.rs
+++ b/crates/controller/tests/stored_state.rs
@@ -117,6 +117,7 @@
             replicas: replicas.collect(),
             founding: Some(founding),
             may_found: None,
+            deregistered: None,
         },
         StoredState {
             node: NodeId(78),
@@ -128,6 +129,7 @@
             ],
             founding: None,
             may_found: None,
+            deregistered: None,
         },
     ]
 }
--- a/crates/runtime/tests/data_folder.rs
+++ b/crates/runtime/tests/data_folder.rs
@@ -82,7 +82,8 @@
         // Files are not extended to a larger capacity either.
         let failure = DataFolder::open(&test_folder.0, 2 * DISK_CAPACITY, 2 * DISK_CAPACITY).err();
         let message = failure.expect("it is rejected").to_string();
-        for word in [part.file_name(), "format 3", "start the program", "Nothing"] {
+        let named = format!("disk format {format},");
+        for word in [part.file_name(), &named, "start the program", "Nothing"] {
             assert!(message.contains(word), "{message}");
         }
         assert_eq!(test_folder.all(), before);
--- a/crates/runtime/tests/outgoing_queue.rs
+++ b/crates/runtime/tests/outgoing_queue.rs
@@ -28,7 +28,10 @@
 }
 
 fn quorum_read_request(number: u64) -> Message {
-    Message::QuorumReadRequest { number }
+    Message::QuorumReadRequest {
+        number,
+        deregistrations: None,
+    }
 }
 
 fn encoded(message: &Message) -> Vec<u8> {
--- a/crates/simulator/src/actors/instance.rs
+++ b/crates/simulator/src/actors/instance.rs
@@ -31,12 +31,14 @@
 }
 
 /// An announced termination of an instance.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct Deregistration {
     /// When the next call is due, as long as none was acknowledged.
     pub next_call: Duration,
     /// Whether a controller has acknowledged it.
     pub is_acknowledged: bool,
+    /// How long the instance serves on after the acknowledgement.
+    pub serves_on: Duration,
 }
 
 /// A simulated instance of a service.
@@ -102,8 +104,12 @@
     }
 
     /// Announces its termination, and sends no heartbeats any more.
-    pub fn start_deregistration(&mut self) {
-        self.deregistration.get_or_insert_default();
+    pub fn start_deregistration(&mut self, serves_on: Duration) {
+        self.deregistration.get_or_insert(Deregistration {
+            next_call: Duration::ZERO,
+            is_acknowledged: false,
+            serves_on,
+        });
     }
 
     pub fn heartbeat(&mut self, now: Duration) -> Heartbeat {
--- a/crates/simulator/src/day.rs
+++ b/crates/simulator/src/day.rs
@@ -39,7 +39,11 @@
     /// Instances begin to warm up again, for this long.
     WarmUp(Duration),
     /// Instances announce their termination, send no more heartbeats, and serve on for a while.
-    Deregister,
+    Deregister {
+        serves_on: Duration,
+        /// The last heartbeat before is sent just before, and arrives this much later.
+        late_heartbeat: Option<Duration>,
+    },
     /// Starts an instance of another service at the same address.
     ReuseAddress {
         service: String,
@@ -128,8 +132,18 @@
     /// Keyed traffic cannot be served until the fault is over, because leases expire without an
     /// owner manager.
     pub blocks_keyed_traffic: bool,
-    /// The fault occurs when the next change is accepted, but not before `at`.
-    pub on_acceptance: bool,
+    pub trigger: FaultTrigger,
+}
+
+/// When a fault occurs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FaultTrigger {
+    /// At the time of its step.
+    AtTime,
+    /// When the next change is accepted after that time.
+    OnAcceptance,
+    /// When the next deregistration is acknowledged after that time.
+    OnDeregistration,
 }
 
 /// Policy settings of the day that differ from the product's defaults.
@@ -209,6 +223,20 @@
     pub agents_ignore_progress: bool,
 }
 
+/// Reads when a fault occurs: its trigger, and the time in milliseconds.
+fn read_trigger(item: &JsonValue) -> Option<(FaultTrigger, u64)> {
+    let triggers = [
+        ("at_ms", FaultTrigger::AtTime),
+        ("on_yes_after_ms", FaultTrigger::OnAcceptance),
+        ("on_deregistered_after_ms", FaultTrigger::OnDeregistration),
+    ];
+    let mut given = triggers
+        .into_iter()
+        .filter_map(|(name, trigger)| Some((trigger, item[name].as_u64()?)));
+    let first = given.next();
+    first.filter(|_| given.next().is_none())
+}
+
 fn read_action(item: &JsonValue) -> Option<FaultAction> {
     let count = item["count"].as_u32().unwrap_or(1);
     Some(match item["act"].as_str()? {
@@ -223,7 +251,12 @@
         "wake" => FaultAction::Unfreeze,
         "leave" => FaultAction::Drain,
         "warm-up" => FaultAction::WarmUp(Duration::from_millis(item["for_ms"].as_u64()?)),
-        "deregister" => FaultAction::Deregister,
+        "deregister" => FaultAction::Deregister {
+            serves_on: Duration::from_millis(item["serves_on_ms"].as_u64().unwrap_or(5000)),
+            late_heartbeat: item["late_heartbeat_ms"]
+                .as_u64()
+                .map(Duration::from_millis),
+        },
         "take-over" => FaultAction::ReuseAddress {
             service: item["pool"].as_str()?.to_string(),
         },
@@ -317,6 +350,9 @@
         let known_fault_fields = [
             "at_ms",
             "on_yes_after_ms",
+            "on_deregistered_after_ms",
+            "serves_on_ms",
+            "late_heartbeat_ms",
             "act",
             "target",
             "big",
@@ -355,22 +391,21 @@
                     );
                 }
             }
-            let at = item["at_ms"].as_u64();
-            let on_acceptance = item["on_yes_after_ms"].as_u64();
-            match (at.or(on_acceptance), read_action(item)) {
-                (Some(moment), Some(action)) if at.is_none() || on_acceptance.is_none() => {
+            match (read_trigger(item), read_action(item)) {
+                (Some((trigger, moment)), Some(action)) => {
                     faults.push(FaultStep {
                         at: Duration::from_millis(moment),
                         action,
                         target: item["target"].as_str().unwrap_or_default().to_string(),
                         is_major: item["big"].as_bool().unwrap_or(false),
                         blocks_keyed_traffic: item["keyed_waits"].as_bool().unwrap_or(false),
-                        on_acceptance: on_acceptance.is_some(),
+                        trigger,
                     });
                 }
                 _ => fault(
                     format!("faults[{index}]"),
-                    "give either at_ms or on_yes_after_ms, and a known act with its arguments"
+                    "give one of at_ms, on_yes_after_ms and on_deregistered_after_ms, and a known act with \
+                     its arguments"
                         .to_string(),
                 ),
             }
--- a/crates/simulator/src/world/controllers.rs
+++ b/crates/simulator/src/world/controllers.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use crate::day::{FaultStep, FaultTrigger};
 use crate::world::events::{DeregistrationTicket, HeartbeatTicket, NodeEvent};
 use crate::world::nodes::Process;
 use crate::world::World;
@@ -97,6 +98,7 @@
     /// Executes the outputs of a controller's state machine.
     pub(super) fn execute_outputs(&mut self, index: usize, outputs: Vec<ControllerOutput>) {
         let mut change_accepted = false;
+        let mut deregistration_acknowledged = false;
         for output in outputs {
             match output {
                 ControllerOutput::ShutdownComplete => self.end_process(index, false),
@@ -105,15 +107,35 @@
                     self.start_write(index, ticket, writes)
                 }
                 ControllerOutput::Respond { ticket, response } => {
-                    change_accepted |= self.take_response(index, ticket, response);
+                    match self.deregistration_tickets.remove(&(index, ticket)) {
+                        Some(pending) => {
+                            deregistration_acknowledged |=
+                                self.take_deregistration_response(index, &pending, &response);
+                        }
+                        None => change_accepted |= self.take_response(index, ticket, response),
+                    }
                 }
                 ControllerOutput::LogEvent { event } => self.record_event(index, event),
             }
         }
         if change_accepted {
-            for fault_step in std::mem::take(&mut self.on_acceptance) {
-                self.apply_fault(&fault_step);
-            }
+            self.apply_waiting_faults(FaultTrigger::OnAcceptance);
+        }
+        if deregistration_acknowledged {
+            self.apply_waiting_faults(FaultTrigger::OnDeregistration);
+        }
+    }
+
+    /// Applies the faults that wait for this event.
+    fn apply_waiting_faults(&mut self, trigger: FaultTrigger) {
+        let waiting = std::mem::take(&mut self.waiting_faults);
+        let (due, waiting) = waiting
+            .into_iter()
+            .partition(|fault: &FaultStep| fault.trigger == trigger);
+        self.waiting_faults = waiting;
+        let due: Vec<FaultStep> = due;
+        for fault_step in due {
+            self.apply_fault(&fault_step);
         }
     }
 
@@ -136,10 +158,6 @@
             self.take_heartbeat_response(index, ticket, response);
             return false;
         }
-        if let Some(pending) = self.deregistration_tickets.remove(&(index, ticket)) {
-            self.take_deregistration_response(index, &pending, &response);
-            return false;
-        }
         if let OperatorResponse::ProposalOutcome { proposal_outcome } = response {
             let Some(change) = self.operator_calls.remove(&ticket) else {
                 return false;
--- a/crates/simulator/src/world/deregistrations.rs
+++ b/crates/simulator/src/world/deregistrations.rs
@@ -6,12 +6,11 @@
 use crate::world::events::{DeregistrationTicket, NodeEvent};
 use crate::world::nodes::Process;
 use crate::world::World;
+use caperworks::envelope_clock::Echo;
 use controller::state_machine::operator_messages::OperatorResponse;
 
 /// How long an instance waits for the acknowledgement before it calls another controller.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
-/// How long an instance serves on after the acknowledgement.
-const SERVES_ON: Duration = Duration::from_millis(5000);
 
 impl World {
     /// Returns the next call by which an instance announces its termination, if one is due, and the
@@ -51,15 +50,16 @@
         self.next_ticket
     }
 
-    /// Forwards a controller's response to the instance that announced its termination.
+    /// Forwards a controller's response to the instance that announced its termination; returns whether it is an
+    /// acknowledgement.
     pub(super) fn take_deregistration_response(
         &mut self,
         index: usize,
         pending: &DeregistrationTicket,
         response: &OperatorResponse,
-    ) {
+    ) -> bool {
         if !matches!(response, OperatorResponse::Heartbeat { .. }) {
-            return;
+            return false;
         }
         if let Some(Process::Instance(instance)) = &self.nodes[pending.instance].process {
             let heartbeat = instance.current_heartbeat(self.now);
@@ -72,6 +72,31 @@
                 NodeEvent::DeregistrationAcknowledged,
             );
         }
+        true
+    }
+
+    /// Sends a heartbeat of an instance to each controller that arrives only after this delay.
+    pub(super) fn delay_heartbeat(&mut self, index: usize, delay: Duration) {
+        let local = self.local_time(index);
+        let Some(Process::Instance(instance)) = &mut self.nodes[index].process else {
+            return;
+        };
+        let heartbeat = instance.heartbeat(local);
+        let stamps = instance.stamps.clone();
+        for (controller, (stamp, since)) in stamps {
+            let echo = Echo {
+                stamp,
+                held: local.saturating_sub(since),
+            };
+            let late = NodeEvent::HeartbeatArrived {
+                number: heartbeat.counter,
+                heartbeat: Box::new(heartbeat.clone()),
+                echo: Some(echo),
+                instance: index,
+                instance_incarnation: self.nodes[index].incarnation,
+            };
+            self.schedule_for_node(controller, delay, late);
+        }
     }
 
     /// Lets an instance whose announcement was acknowledged serve on for a while, and then end.
@@ -81,7 +106,8 @@
         };
         if !deregistration.is_acknowledged {
             deregistration.is_acknowledged = true;
-            self.schedule_for_node(index, SERVES_ON, NodeEvent::ShutdownFinished);
+            let serves_on = deregistration.serves_on;
+            self.schedule_for_node(index, serves_on, NodeEvent::ShutdownFinished);
         }
     }
 }
--- a/crates/simulator/src/world/faults.rs
+++ b/crates/simulator/src/world/faults.rs
@@ -44,8 +44,16 @@
             FaultAction::WarmUp(duration) => {
                 self.on_each(&nodes, |world, index| world.start_warm_up(index, *duration));
             }
-            FaultAction::Deregister => {
-                self.on_instances(&nodes, SimInstance::start_deregistration);
+            FaultAction::Deregister {
+                serves_on,
+                late_heartbeat,
+            } => {
+                if let Some(delay) = late_heartbeat {
+                    self.on_each(&nodes, |world, index| world.delay_heartbeat(index, *delay));
+                }
+                self.on_instances(&nodes, |instance| {
+                    instance.start_deregistration(*serves_on);
+                });
             }
             FaultAction::LoseResponses(count) => {
                 self.on_instances(&nodes, |instance| instance.responses_to_lose = *count);
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -79,8 +79,8 @@
     completed_changes: Vec<Change>,
     /// Pending reads, and when they were requested.
     pending_reads: HashMap<u64, Duration>,
-    /// Faults that occur when the next change is accepted.
-    on_acceptance: Vec<FaultStep>,
+    /// Faults that wait for the next accepted change or acknowledged deregistration.
+    waiting_faults: Vec<FaultStep>,
     /// The controller that reported the last accepted change.
     last_accepting_controller: Option<usize>,
     /// The kind of traffic with a hot key, and its additional requests per second.
@@ -138,7 +138,7 @@
             known_versions: HashMap::new(),
             completed_changes: Vec::new(),
             pending_reads: HashMap::new(),
-            on_acceptance: Vec::new(),
+            waiting_faults: Vec::new(),
             last_accepting_controller: None,
             hot_key: None,
             surge_percent: 100,
--- a/crates/simulator/src/world/schedule.rs
+++ b/crates/simulator/src/world/schedule.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
+use crate::day::FaultTrigger;
 use crate::world::events::{NodeEvent, ScheduledEvent};
 use crate::world::nodes::Process;
 use crate::world::World;
@@ -89,10 +90,11 @@
             ScheduledEvent::Reader => self.run_reader(),
             ScheduledEvent::Fault { index } => {
                 let fault = self.day.faults[index].clone();
-                if fault.on_acceptance {
-                    self.on_acceptance.push(fault);
-                } else {
-                    self.apply_fault(&fault);
+                match fault.trigger {
+                    FaultTrigger::AtTime => self.apply_fault(&fault),
+                    FaultTrigger::OnAcceptance | FaultTrigger::OnDeregistration => {
+                        self.waiting_faults.push(fault);
+                    }
                 }
             }
             ScheduledEvent::Observe => self.observe(),
--- a/crates/simulator/tests/observers.rs
+++ b/crates/simulator/tests/observers.rs
@@ -364,3 +364,14 @@
         set_short_connect_timeout,
     );
 }
+
+/// Guards against review case 6: deregistrations that are acknowledged from memory are gone after a kill of all
+/// controllers.
+#[test]
+fn deregistration_kept_in_memory_alone_is_detected() {
+    assert_detected(
+        "deregistered-then-killed",
+        Invariant::ReachedLeaving,
+        |day| day.controller_fault = FaultInjection::UnsyncedDeregistrations,
+    );
+}
--- a/crates/simulator/tests/runbooks.rs
+++ b/crates/simulator/tests/runbooks.rs
@@ -7,7 +7,7 @@
 use caperworks::identifiers::Zone;
 use runbook_runner::runbook::{Action, Runbook};
 use runbook_runner::runner::{NextAction, Observation, Runner};
-use simulator::day::{read_deployment, Day, FaultAction, FaultStep};
+use simulator::day::{read_deployment, Day, FaultAction, FaultStep, FaultTrigger};
 use simulator::world::World;
 
 fn fleet(seed: u64) -> World {
@@ -31,7 +31,7 @@
         target: target.to_string(),
         is_major: false,
         blocks_keyed_traffic: false,
-        on_acceptance: false,
+        trigger: FaultTrigger::AtTime,
     });
 }
 
