--- a/crates/agent/tests/witness_confirmations.rs
+++ b/crates/agent/tests/witness_confirmations.rs
@@ -162,7 +162,7 @@
     };
     assert_eq!(fixture.confirm_deregistration(), [confirmation]);
     let id = InstanceId::new("one");
-    assert!(fixture.agent.link().instances.has_ended(&id));
+    assert!(fixture.agent.link().instances.has_deregistered(&id));
     assert_eq!(fixture.reported(None), Some(vec!["one".to_string()]));
     let digest = fixture.agent.link().instances.deregistrations().digest();
     assert_eq!(fixture.reported(Some(digest)), None, "it is known there");
@@ -221,6 +221,6 @@
     };
     fixture.send(Message::Grant { granted });
     let id = InstanceId::new("two");
-    assert!(fixture.agent.link().instances.has_ended(&id));
+    assert!(fixture.agent.link().instances.has_deregistered(&id));
     assert_eq!(fixture.reported(None), None);
 }
--- a/crates/caperworks/src/instances.rs
+++ b/crates/caperworks/src/instances.rs
@@ -1,5 +1,5 @@
 //! The known instances: the latest heartbeat of each, which of them are suspected, and which instances
-//! have announced their termination.
+//! have deregistered.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -15,7 +15,7 @@
 pub const INSTANCE_TIMEOUT: Duration = Duration::from_millis(3000);
 /// How long a follower keeps a suspected instance, for proxies that still receive its responses.
 pub const SUSPECTED_RETENTION: Duration = Duration::from_secs(30);
-/// How long followers list an instance that announced its termination while it was serving.
+/// How long followers list an instance that deregistered while it was serving.
 const SERVING_ON_RETENTION: Duration = Duration::from_secs(5);
 
 /// The known instances.
@@ -25,10 +25,10 @@
     /// The instance that was last seen at each address. Without this index every heartbeat would need a
     /// scan of all instances, which would be the main cost with many of them.
     by_address: HashMap<SocketAddr, InstanceId>,
-    /// Instances that announced their termination, so that no late heartbeat brings them back.
+    /// Instances that have deregistered, so that no late heartbeat brings them back.
     deregistrations: Deregistrations,
-    /// The last heartbeats of instances that announced their termination while they were serving, changed
-    /// to draining, with the time of the announcement. Some serve on for a while.
+    /// The last heartbeats of instances that deregistered while they were serving, changed
+    /// to draining, with the time of the deregistration. Some serve on for a while.
     serving_on: BTreeMap<InstanceId, (Heartbeat, Duration)>,
     /// Known instances whose heartbeats are overdue, and since when each is suspected.
     suspected: BTreeMap<InstanceId, Duration>,
@@ -149,8 +149,8 @@
         self.latest_removal_offset = self.latest_offset;
     }
 
-    /// Handles an instance's announcement of its termination; returns whether it was not known yet.
-    pub fn record_termination(&mut self, now: Duration, id: &InstanceId) -> bool {
+    /// Handles an instance's deregistration; returns whether it was not known yet.
+    pub fn record_deregistration(&mut self, now: Duration, id: &InstanceId) -> bool {
         let received = ReceivedDeregistration {
             id: id.clone(),
             age: Duration::ZERO,
@@ -158,7 +158,7 @@
         self.handle_deregistration(now, &received)
     }
 
-    /// Handles a report that an instance announced its termination some time ago; returns whether it was not
+    /// Handles a report that an instance deregistered some time ago; returns whether it was not
     /// known yet.
     pub fn handle_deregistration(
         &mut self,
@@ -179,7 +179,7 @@
         true
     }
 
-    /// Records that an instance may serve on after it announced its termination. One that drained before
+    /// Records that an instance may serve on after it deregistered. One that drained before
     /// terminates at once.
     fn record_serving_on(&mut self, now: Duration, mut heartbeat: Heartbeat) {
         if heartbeat.state == InstanceState::Draining {
@@ -190,7 +190,7 @@
             .insert(heartbeat.id.clone(), (heartbeat, now));
     }
 
-    /// Returns the instances that announced their termination lately without draining before, as draining:
+    /// Returns the instances that deregistered lately without draining before, as draining:
     /// owners among them serve on while nobody else owns their key ranges.
     pub fn serving_on(&self, now: Duration) -> impl Iterator<Item = &Heartbeat> {
         self.serving_on
@@ -199,23 +199,23 @@
             .map(|(heartbeat, _)| heartbeat)
     }
 
-    /// Returns the instances that announced their termination and are still remembered.
+    /// Returns the deregistrations that are still remembered.
     pub fn deregistrations(&self) -> &Deregistrations {
         &self.deregistrations
     }
 
-    /// Returns whether an instance announced its termination.
-    pub fn has_ended(&self, id: &InstanceId) -> bool {
+    /// Returns whether an instance has deregistered.
+    pub fn has_deregistered(&self, id: &InstanceId) -> bool {
         self.deregistrations.contains(id)
     }
 
-    /// Returns how long ago an instance announced its termination, if it did.
-    pub fn time_since_end(&self, now: Duration, id: &InstanceId) -> Option<Duration> {
+    /// Returns how long ago an instance deregistered, if it did.
+    pub fn time_since_deregistration(&self, now: Duration, id: &InstanceId) -> Option<Duration> {
         self.deregistrations.age(now, id)
     }
 
-    /// Returns the instances whose termination was recorded after an offset.
-    pub fn ended_after(&self, now: Duration, offset: u64) -> Vec<InstanceId> {
+    /// Returns the instances whose deregistration was recorded after an offset.
+    pub fn deregistered_after(&self, now: Duration, offset: u64) -> Vec<InstanceId> {
         let deregistered = self.deregistrations.after(now, offset);
         deregistered.into_iter().map(|entry| entry.id).collect()
     }
@@ -299,7 +299,7 @@
         self.latest_offset
     }
 
-    /// Returns the offset up to which instances and their terminations were recorded before `moment`.
+    /// Returns the offset up to which instances and deregistrations were recorded before `moment`.
     pub fn offset_before(&self, moment: Duration) -> u64 {
         let known = offset_before(self.known.values(), moment);
         known.max(self.deregistrations.offset_before(moment))
--- a/crates/caperworks/src/link.rs
+++ b/crates/caperworks/src/link.rs
@@ -432,7 +432,7 @@
             self.instances.handle(now, &fact.clone().aged(took));
         }
         for id in &granted.deregistered {
-            self.instances.record_termination(now, id);
+            self.instances.record_deregistration(now, id);
         }
         for fact in &granted.members {
             self.members.handle(now, &fact.clone().aged(took));
--- a/crates/caperworks/src/ownership/moves.rs
+++ b/crates/caperworks/src/ownership/moves.rs
@@ -113,9 +113,9 @@
         let should_move = case
             .target
             .is_some_and(|target| target.id != owner.instance);
-        let has_ended = view.instances.has_ended(&owner.instance);
+        let has_deregistered = view.instances.has_deregistered(&owner.instance);
         let skips_lease_wait =
-            self.skips_lease_wait || (self.ends_leases_on_termination && has_ended);
+            self.skips_lease_wait || (self.ends_leases_on_termination && has_deregistered);
         let state = self.state(case.service, case.key_range, owner.epoch);
         if !state.is_releasing && should_move && (!is_alive || *moves < MAX_CONCURRENT_MOVES) {
             state.is_releasing = true;
@@ -144,7 +144,7 @@
         reason: FreeReason,
     ) -> OwnerChange {
         let owner = &case.owner.instance;
-        let since_termination = view.instances.time_since_end(now, owner);
+        let since_termination = view.instances.time_since_deregistration(now, owner);
         let state = self.state(case.service, case.key_range, case.owner.epoch);
         let since = |at: Option<Duration>| at.map(|at| now.saturating_sub(at));
         OwnerChange {
--- a/crates/caperworks/tests/controller_search.rs
+++ b/crates/caperworks/tests/controller_search.rs
@@ -321,12 +321,12 @@
     let mut instances = Instances::default();
     instances.handle(millis(1000), &received_heartbeat("one", 1));
     instances.handle(millis(2000), &received_heartbeat("two", 2));
-    instances.record_termination(millis(3000), &InstanceId::new("one"));
+    instances.record_deregistration(millis(3000), &InstanceId::new("one"));
     let notified_after = |moment: u64| {
         let offset = instances.offset_before(millis(moment));
         (
             instances.after(millis(4000), offset).len(),
-            instances.ended_after(millis(4000), offset).len(),
+            instances.deregistered_after(millis(4000), offset).len(),
         )
     };
     assert_eq!(notified_after(500), (1, 1));
--- a/crates/caperworks/tests/facts.rs
+++ b/crates/caperworks/tests/facts.rs
@@ -189,9 +189,9 @@
     };
     // The kinds: a known instance terminates, an unknown one does, an address gets another instance, and
     // heartbeats are overdue.
-    assert!(instances.record_termination(millis(1100), &InstanceId::new("one")));
+    assert!(instances.record_deregistration(millis(1100), &InstanceId::new("one")));
     assert_removal(&instances, "ended");
-    assert!(instances.record_termination(millis(1200), &InstanceId::new("nobody")));
+    assert!(instances.record_deregistration(millis(1200), &InstanceId::new("nobody")));
     assert_removal(&instances, "unknown");
     let successor = Heartbeat {
         address: heartbeat("two", 1).address,
@@ -206,7 +206,7 @@
     assert_eq!(instances.get(&InstanceId::new("two")), None);
     let offset = instances.latest_removal_offset();
     assert_eq!(instances.expire(millis(3999)), []);
-    assert!(!instances.record_termination(millis(3999), &InstanceId::new("one")));
+    assert!(!instances.record_deregistration(millis(3999), &InstanceId::new("one")));
     assert_eq!(
         instances.latest_removal_offset(),
         offset,
--- a/crates/caperworks/tests/instance_termination.rs
+++ b/crates/caperworks/tests/instance_termination.rs
@@ -45,11 +45,11 @@
     let one = InstanceId::new("one");
     assert!(instances.handle(millis(100), &heartbeat("one", 1)));
     assert!(
-        instances.record_termination(millis(200), &one),
+        instances.record_deregistration(millis(200), &one),
         "it was not known yet"
     );
     assert!(
-        !instances.record_termination(millis(300), &one),
+        !instances.record_deregistration(millis(300), &one),
         "it is known already"
     );
     for (at, counter) in [(300, 2), (1000, 99), (10_000, 100), (29_000, 101)] {
@@ -69,7 +69,7 @@
 #[test]
 fn termination_of_an_unknown_instance_rejects_its_late_heartbeat() {
     let mut instances = Instances::default();
-    instances.record_termination(millis(100), &InstanceId::new("one"));
+    instances.record_deregistration(millis(100), &InstanceId::new("one"));
     assert!(!instances.handle(millis(200), &heartbeat("one", 1)));
 }
 
@@ -78,14 +78,14 @@
     let mut instances = Instances::default();
     let (one, two) = (InstanceId::new("one"), InstanceId::new("two"));
     instances.handle(millis(100), &heartbeat("one", 1));
-    instances.record_termination(millis(200), &one);
+    instances.record_deregistration(millis(200), &one);
     let offset = instances.latest_offset();
-    instances.record_termination(millis(300), &two);
+    instances.record_deregistration(millis(300), &two);
     let now = millis(400);
-    assert_eq!(instances.ended_after(now, 0), [one, two.clone()]);
-    assert_eq!(instances.ended_after(now, offset), [two]);
+    assert_eq!(instances.deregistered_after(now, 0), [one, two.clone()]);
+    assert_eq!(instances.deregistered_after(now, offset), [two]);
     let updates = instances.latest_offset();
-    assert_eq!(instances.ended_after(now, updates), []);
+    assert_eq!(instances.deregistered_after(now, updates), []);
     assert_eq!(instances.after(now, 0), []);
 }
 
--- a/crates/caperworks/tests/key_ranges/leases.rs
+++ b/crates/caperworks/tests/key_ranges/leases.rs
@@ -285,15 +285,18 @@
     let lease_until = last_heartbeat_at + timings.lease + timings.drift;
     let ended_at = last_heartbeat_at + millis(100);
     let id = InstanceId::new("a");
-    assert_eq!(bench.instances.time_since_end(ended_at, &id), None);
-    assert!(bench.instances.record_termination(ended_at, &id));
+    assert_eq!(
+        bench.instances.time_since_deregistration(ended_at, &id),
+        None
+    );
+    assert!(bench.instances.record_deregistration(ended_at, &id));
     for step in 1..=42 {
         let now = ended_at + millis(100 * step);
         // A late heartbeat of the terminated instance does not restore it.
         let late = bench.next_heartbeat("a");
         bench.receive(now, &late);
         assert_eq!(bench.instances.get(&id), None);
-        let since_end = bench.instances.time_since_end(now, &id);
+        let since_end = bench.instances.time_since_deregistration(now, &id);
         assert_eq!(since_end, Some(millis(100 * step)));
         bench.heartbeat(now, "b");
         let moved = bench.plan(now);
@@ -301,7 +304,12 @@
     }
     assert!((0..4).all(|key_range| bench.owner(key_range) == "b"));
     let running = InstanceId::new("b");
-    assert_eq!(bench.instances.time_since_end(seconds(30), &running), None);
+    assert_eq!(
+        bench
+            .instances
+            .time_since_deregistration(seconds(30), &running),
+        None
+    );
 }
 
 #[test]
@@ -316,7 +324,7 @@
     bench.heartbeat(last + millis(100), "a");
     bench
         .instances
-        .record_termination(last + millis(150), &InstanceId::new("a"));
+        .record_deregistration(last + millis(150), &InstanceId::new("a"));
     assert_eq!(bench.plan(last + millis(200)), 4);
     assert!((0..4).all(|key_range| bench.owner(key_range) == "b"));
 }
--- a/crates/caperworks/tests/key_ranges/schedules.rs
+++ b/crates/caperworks/tests/key_ranges/schedules.rs
@@ -135,7 +135,7 @@
         let index = self.random_instance();
         let name = self.running.swap_remove(index);
         let id = InstanceId::new(&name);
-        self.bench.instances.record_termination(self.now, &id);
+        self.bench.instances.record_deregistration(self.now, &id);
         self.serving_on.push((name, self.now + SERVES_ON));
         self.start_instance();
     }
--- a/crates/caperworks/tests/suspected_instances.rs
+++ b/crates/caperworks/tests/suspected_instances.rs
@@ -295,7 +295,7 @@
     let id = InstanceId::new("a");
     instances.handle(millis(1000), &received_heartbeat("a", 1));
     instances.mark_suspected(millis(1000) + INSTANCE_TIMEOUT);
-    instances.record_termination(millis(4500), &id);
+    instances.record_deregistration(millis(4500), &id);
     assert!(instances.get(&id).is_none());
     assert!(!instances.is_suspected(&id));
 }
--- a/crates/controller/src/daemon/handle.rs
+++ b/crates/controller/src/daemon/handle.rs
@@ -121,7 +121,7 @@
         if self.may_be_old {
             return false;
         }
-        let input = |ticket| ControllerInput::InstanceEnded { ticket, id };
+        let input = |ticket| ControllerInput::DeregistrationReceived { ticket, id };
         matches!(
             self.request(input).await,
             Some(OperatorResponse::Heartbeat { .. })
--- a/crates/controller/src/deregistrations.rs
+++ b/crates/controller/src/deregistrations.rs
@@ -124,7 +124,7 @@
     storage.remove_forgotten_at = state.now + FORGOTTEN_INTERVAL;
     // An instance may have deregistered again since.
     let mut ids = std::mem::take(&mut storage.forgotten);
-    ids.retain(|id| !state.instances.has_ended(id));
+    ids.retain(|id| !state.instances.has_deregistered(id));
     state.write_records(&[Record::DeregistrationsForgotten { ids }], Vec::new());
 }
 
--- a/crates/controller/src/renewal.rs
+++ b/crates/controller/src/renewal.rs
@@ -85,7 +85,9 @@
         versions,
         instances: instances.received,
         instances_offset: instances.offset,
-        deregistered: state.instances.ended_after(now, offsets.ended_instances),
+        deregistered: state
+            .instances
+            .deregistered_after(now, offsets.deregistered_instances),
         proxies,
         members: members.received,
         members_offset: members.offset,
@@ -117,7 +119,7 @@
     instances: u64,
     members: u64,
     /// The offset for instances that are draining or have ended, which must not receive requests.
-    ended_instances: u64,
+    deregistered_instances: u64,
 }
 
 impl FactOffsets {
@@ -133,21 +135,21 @@
             return Self {
                 instances: renewal.instances_after,
                 members: renewal.members_after,
-                ended_instances: renewal.instances_after,
+                deregistered_instances: renewal.instances_after,
             };
         }
         let Some(age) = renewal.facts_age else {
             return Self {
                 instances: 0,
                 members: 0,
-                ended_instances: 0,
+                deregistered_instances: 0,
             };
         };
         let since = state.now.saturating_sub(age + FACT_PROPAGATION_TIME);
         Self {
             instances: state.instances.offset_before(since),
             members: state.members.offset_before(since),
-            ended_instances: 0,
+            deregistered_instances: 0,
         }
     }
 }
@@ -166,10 +168,11 @@
     let first = state
         .instances
         .first_after(state.now, offsets.instances, max_facts);
-    let draining =
-        state
-            .instances
-            .draining_between(state.now, offsets.ended_instances, offsets.instances);
+    let draining = state.instances.draining_between(
+        state.now,
+        offsets.deregistered_instances,
+        offsets.instances,
+    );
     FactBatch {
         received: draining.into_iter().chain(first.received).collect(),
         ..first
--- a/crates/controller/src/state/mod.rs
+++ b/crates/controller/src/state/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::deregistrations::DeregistrationStorage;
 use crate::fact_exchange::FactExchange;
-use crate::instance_calls::PendingInstanceCall;
+use crate::instance_calls::pending::PendingInstanceCall;
 use crate::operator_calls::UnversionedChange;
 use crate::reads::Reads;
 use crate::state::options::ControllerOptions;
--- a/crates/controller/src/state_machine/dispatch.rs
+++ b/crates/controller/src/state_machine/dispatch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::consensus::{founding, quorum_reads};
+use crate::instance_calls::{confirmations, pending};
 use crate::state::parts::KnownController;
 use crate::state::ControllerState;
 use crate::{consensus, deregistrations, fact_exchange, instance_calls, renewal};
@@ -159,17 +160,17 @@
             number,
             heartbeat,
             ended,
-        } => instance_calls::handle_confirmation_request(
+        } => confirmations::handle_confirmation_request(
             state, reply_to, number, heartbeat, ended, age,
         ),
         Message::FactConfirmed { number, synced } => {
-            instance_calls::handle_confirmation(state, from, number, synced);
+            confirmations::handle_confirmation(state, from, number, synced);
         }
         Message::HeartbeatForward { ticket, received } => {
             instance_calls::handle_forwarded_heartbeat(state, reply_to, ticket, received, age);
         }
         Message::HeartbeatReply { ticket, response } => {
-            instance_calls::handle_owner_manager_response(state, ticket, response);
+            pending::handle_owner_manager_response(state, ticket, response);
         }
         // Messages of other kinds are handled above.
         _ => {}
--- a/crates/controller/src/state_machine/input.rs
+++ b/crates/controller/src/state_machine/input.rs
@@ -51,7 +51,7 @@
         echo: Option<Echo>,
     },
     /// An instance reports that this incarnation of it has ended.
-    InstanceEnded {
+    DeregistrationReceived {
         /// Identifies the call in the output that responds to it.
         ticket: u64,
         /// The instance.
--- a/crates/controller/src/state_machine/mod.rs
+++ b/crates/controller/src/state_machine/mod.rs
@@ -88,7 +88,7 @@
                 heartbeat,
                 echo,
             } => instance_calls::handle_heartbeat(state, ticket, heartbeat, echo),
-            ControllerInput::InstanceEnded { ticket, id } => {
+            ControllerInput::DeregistrationReceived { ticket, id } => {
                 instance_calls::handle_deregistration(state, ticket, id);
             }
             ControllerInput::SeedsChanged { seeds } => state.options.seeds = seeds,
--- a/crates/controller/src/state_machine/ticks.rs
+++ b/crates/controller/src/state_machine/ticks.rs
@@ -1,10 +1,11 @@
 //! Periodic work of a controller, which each tick does if it is due.
 
 use crate::consensus::{founding, proposals, quorum_reads, snapshot_transfer};
+use crate::instance_calls::pending;
 use crate::state::ControllerState;
 use crate::state_machine::event::Event;
 use crate::state_machine::{shutdown, storage};
-use crate::{deregistrations, fact_exchange, instance_calls, leadership};
+use crate::{deregistrations, fact_exchange, leadership};
 use caperworks::identifiers::NodeId;
 
 /// Does all periodic work that is due.
@@ -17,7 +18,7 @@
     deregistrations::forget_old(state);
     expire_instances_and_members(state);
     mark_suspected_members(state);
-    instance_calls::respond_to_timed_out_calls(state);
+    pending::respond_to_timed_out_calls(state);
     fact_exchange::share_facts(state);
     leadership::tick(state);
     proposals::tick(state);
--- a/crates/controller/tests/fleet/deregistrations.rs
+++ b/crates/controller/tests/fleet/deregistrations.rs
@@ -6,10 +6,11 @@
 use crate::fleet::{apply, heartbeat, service, service_put, Fleet};
 use crate::follower::FollowerProcess;
 use crate::restarts::run_with_follower;
-use crate::support::controllers::{policy, STEP};
+use crate::support::controllers::{address, policy, STEP};
 use caperworks::deregistrations::DEREGISTRATION_RETENTION;
 use caperworks::facts::Role;
 use caperworks::identifiers::InstanceId;
+use caperworks::messages::Message;
 use caperworks::policy::CorePolicy;
 use caperworks::replicated_map::MapName;
 use controller::fault_injection::FaultInjection;
@@ -243,7 +244,10 @@
 fn recovered_from_disk(fleet: &Fleet, index: usize) -> bool {
     let machine = fleet.nodes[index].machine.as_ref();
     let machine = machine.expect("the controller is running");
-    machine.state.instances.has_ended(&InstanceId::new("one"))
+    machine
+        .state
+        .instances
+        .has_deregistered(&InstanceId::new("one"))
 }
 
 /// A majority with the successor of a lost controller must know what the lost one had confirmed.
@@ -411,7 +415,54 @@
         run_with_follower(&mut fleet, &mut follower, STEP);
         let machine = fleet.nodes[2].machine.as_ref().expect("it runs");
         if machine.state.has_quorum_contact() {
-            assert!(machine.state.instances.has_ended(&id));
+            assert!(machine.state.instances.has_deregistered(&id));
         }
     }
 }
+
+/// Sends a controller the confirmations of the two others for its last call.
+fn confirm_last_call(fleet: &mut Fleet, to: usize, synced: Option<bool>) {
+    let machine = fleet.nodes[to].machine.as_ref().expect("it runs");
+    let number = machine.state.last_instance_call;
+    for from in (0..3).filter(|from| *from != to) {
+        let machine = fleet.nodes[from].machine.as_ref().expect("it runs");
+        let message = Message::FactConfirmed { number, synced };
+        let envelope = machine.seal(address(to), message);
+        fleet.handle_input(to, ControllerInput::MessageReceived { envelope });
+    }
+}
+
+/// Controllers of an earlier release confirm from memory: a majority of these is not enough.
+#[test]
+fn confirmations_from_memory_do_not_acknowledge_a_deregistration() {
+    let mut fleet = Fleet::founded(800);
+    for index in 0..3 {
+        fleet.nodes[index].disk_hangs = true;
+    }
+    let ticket = send_deregistration(&mut fleet, 0, "one");
+    confirm_last_call(&mut fleet, 0, None);
+    assert!(!is_acknowledged(&fleet, ticket));
+    confirm_last_call(&mut fleet, 0, Some(true));
+    assert!(is_acknowledged(&fleet, ticket));
+}
+
+#[test]
+fn controller_that_has_not_merged_deregistrations_does_not_become_voter() {
+    let mut fleet = Fleet::founded(810);
+    let ticket = send_deregistration(&mut fleet, 0, "one");
+    assert!(is_acknowledged(&fleet, ticket));
+    fleet.stop(2, true);
+    let successor = fleet.add_controller(policy());
+    let until = fleet.now + Duration::from_secs(20);
+    while fleet.now < until {
+        fleet.run(STEP);
+        for node in &mut fleet.nodes {
+            if let Some(machine) = &mut node.machine {
+                machine.state.deregistration_storage.reported_merges.clear();
+            }
+        }
+        assert!(!is_voter(&fleet, successor));
+    }
+    fleet.run(Duration::from_secs(2));
+    assert!(is_voter(&fleet, successor));
+}
--- a/crates/controller/tests/fleet/fleet.rs
+++ b/crates/controller/tests/fleet/fleet.rs
@@ -313,7 +313,10 @@
     pub fn deregister(&mut self, index: usize, id: &InstanceId) {
         self.last_ticket += 1;
         let (ticket, id) = (self.last_ticket, id.clone());
-        self.handle_input(index, ControllerInput::InstanceEnded { ticket, id });
+        self.handle_input(
+            index,
+            ControllerInput::DeregistrationReceived { ticket, id },
+        );
     }
 
     pub fn heartbeat_response(&self, ticket: u64) -> Option<&HeartbeatResponse> {
--- a/crates/controller/tests/fleet/main.rs
+++ b/crates/controller/tests/fleet/main.rs
@@ -231,7 +231,7 @@
     }
     fleet.last_ticket += 1;
     let (ticket, id) = (fleet.last_ticket, InstanceId::new("one"));
-    fleet.handle_input(1, ControllerInput::InstanceEnded { ticket, id });
+    fleet.handle_input(1, ControllerInput::DeregistrationReceived { ticket, id });
     assert!(
         fleet.heartbeat_response(ticket).is_some(),
         "the deregistration is not acknowledged"
@@ -331,7 +331,10 @@
 fn deregister(fleet: &mut Fleet, index: usize, id: &str) {
     fleet.last_ticket += 1;
     let (ticket, id) = (fleet.last_ticket, InstanceId::new(id));
-    fleet.handle_input(index, ControllerInput::InstanceEnded { ticket, id });
+    fleet.handle_input(
+        index,
+        ControllerInput::DeregistrationReceived { ticket, id },
+    );
 }
 
 #[test]
@@ -608,7 +611,7 @@
     fleet.run(Duration::from_secs(1));
     fleet.last_ticket += 1;
     let (ticket, id) = (fleet.last_ticket, InstanceId::new("one"));
-    fleet.handle_input(0, ControllerInput::InstanceEnded { ticket, id });
+    fleet.handle_input(0, ControllerInput::DeregistrationReceived { ticket, id });
     assert_eq!(
         fleet.responses.get(&ticket),
         Some(&OperatorResponse::NotCurrent)
--- a/crates/controller/tests/fleet/restarts.rs
+++ b/crates/controller/tests/fleet/restarts.rs
@@ -74,7 +74,7 @@
         fleet.run(Duration::from_millis(450));
         run_with_follower(&mut fleet, &mut follower, Duration::from_millis(700));
         assert!(
-            follower.link.instances.has_ended(&ended),
+            follower.link.instances.has_deregistered(&ended),
             "seed {seed}: the follower of {restarted}, now of {}, does not know that the instance ended",
             controller_of(&follower)
         );
--- a/crates/simulator/src/world/controllers.rs
+++ b/crates/simulator/src/world/controllers.rs
@@ -80,7 +80,7 @@
                     instance_incarnation,
                 };
                 let ticket = self.register_deregistration(index, pending);
-                Some(ControllerInput::InstanceEnded { ticket, id })
+                Some(ControllerInput::DeregistrationReceived { ticket, id })
             }
             NodeEvent::WriteDone {
                 ticket,
