Bound the deregistrations by a part of the slot, and replay those that were forgotten in logarithmic time

Found by reading: 65,536 IDs of 128 bytes would take 8.7 MB; with small slots the state would no longer fit, and controllers whose state does not fit stop voting. Calls are now refused beyond a sixteenth of the slot. What others have acknowledged is recorded in any case: before, a controller with a full set ignored it, which broke the promise that a quorum read brings all. Replaying a log with many forgotten ones searched the whole set for each.

--- a/crates/caperworks/src/deregistrations.rs
+++ b/crates/caperworks/src/deregistrations.rs
@@ -15,6 +15,9 @@
 /// on its way, and than a follower that lists the instance is usually cut off.
 pub const DEREGISTRATION_RETENTION: Duration = Duration::from_secs(120);
 
+/// The most bytes that precede an ID where it is stored.
+const ID_OVERHEAD_BYTES: usize = 5;
+
 messages! {
     /// A deregistration as one node reports it to another, with its age when it was sent.
     #[derive(Eq)]
@@ -41,6 +44,8 @@
 pub struct Deregistrations {
     entries: BTreeMap<InstanceId, FactEntry<()>>,
     digest: DeregistrationDigest,
+    /// The total length of the IDs, in bytes.
+    id_bytes: usize,
 }
 
 impl Deregistrations {
@@ -64,6 +69,7 @@
         self.entries.insert(received.id.clone(), entry);
         self.digest.count += 1;
         self.digest.ids ^= digest_of(&received.id);
+        self.id_bytes += received.id.as_str().len();
         true
     }
 
@@ -88,6 +94,11 @@
         self.entries.is_empty()
     }
 
+    /// Returns the most bytes that the IDs take where they are stored.
+    pub fn max_stored_bytes(&self) -> usize {
+        self.id_bytes + self.entries.len() * ID_OVERHEAD_BYTES
+    }
+
     /// Returns the digest of the set.
     pub fn digest(&self) -> DeregistrationDigest {
         self.digest
@@ -129,6 +140,7 @@
             self.entries.remove(id);
             self.digest.count -= 1;
             self.digest.ids ^= digest_of(id);
+            self.id_bytes -= id.as_str().len();
         }
         expired
     }
--- a/crates/controller/src/deregistrations.rs
+++ b/crates/controller/src/deregistrations.rs
@@ -20,8 +20,9 @@
 use caperworks::messages::Message;
 use caperworks::replicated_map::{MapName, VOTERS};
 
-/// Maximum number of deregistrations that are remembered at a time; beyond it no call is acknowledged.
-const MAX_DEREGISTRATIONS: usize = 65_536;
+/// Part of a slot that deregistrations may take; beyond it no call is acknowledged. A state that is too large for
+/// its slot would stop this controller from voting.
+const MAX_SLOT_FRACTION: u64 = 16;
 /// Maximum length of an instance ID that can deregister, in bytes.
 const MAX_INSTANCE_ID_BYTES: usize = 128;
 /// Number of forgotten deregistrations that are removed from disk by one write.
@@ -44,10 +45,13 @@
     pub reported_merges: BTreeMap<NodeId, Version>,
 }
 
-/// Returns whether this controller can record the deregistration of an instance.
+/// Returns whether this controller may record and confirm the deregistration of an instance.
+///
+/// What others have acknowledged is recorded in any case: it is limited at them.
 pub fn can_record(state: &ControllerState, id: &InstanceId) -> bool {
     let known = state.instances.deregistrations();
-    let has_space = known.len() < MAX_DEREGISTRATIONS || known.contains(id);
+    let max_bytes = state.options.slot_capacity / MAX_SLOT_FRACTION;
+    let has_space = (known.max_stored_bytes() as u64) < max_bytes || known.contains(id);
     has_space && id.as_str().len() <= MAX_INSTANCE_ID_BYTES
 }
 
@@ -102,8 +106,7 @@
     received: &ReceivedDeregistration,
     source: DeregistrationSource,
 ) -> bool {
-    let is_new = can_record(state, &received.id)
-        && state.instances.handle_deregistration(state.now, received);
+    let is_new = state.instances.handle_deregistration(state.now, received);
     if is_new {
         let id = received.id.clone();
         state.log_event(Event::InstanceDeregistered { id, source });
--- a/crates/controller/src/state_machine/startup.rs
+++ b/crates/controller/src/state_machine/startup.rs
@@ -68,7 +68,9 @@
         match record {
             Record::Deregistered { ids } => self.deregistered.extend(ids),
             Record::DeregistrationsForgotten { ids } => {
-                self.deregistered.retain(|id| !ids.contains(id));
+                for id in &ids {
+                    self.deregistered.remove(id);
+                }
             }
             record => self.voter.replay(record),
         }
--- a/crates/controller/tests/fleet/deregistrations.rs
+++ b/crates/controller/tests/fleet/deregistrations.rs
@@ -7,6 +7,7 @@
 use crate::follower::FollowerProcess;
 use crate::restarts::run_with_follower;
 use crate::support::controllers::{address, policy, STEP};
+use caperworks::consensus::proposer::ProposalOutcome;
 use caperworks::deregistrations::DEREGISTRATION_RETENTION;
 use caperworks::facts::Role;
 use caperworks::identifiers::InstanceId;
@@ -466,3 +467,32 @@
     fleet.run(Duration::from_secs(2));
     assert!(is_voter(&fleet, successor));
 }
+
+/// Guards against a flood of deregistrations that makes the state too large for its slot, which would stop all
+/// controllers from voting. The slots of these controllers have a mebibyte.
+#[test]
+fn flood_of_deregistrations_is_rejected_before_the_slot_is_full() {
+    let mut fleet = Fleet::founded(820);
+    let long_id = |number: u64| format!("{number:0128}");
+    let mut acknowledged = 0;
+    for number in 0..2000 {
+        let ticket = send_deregistration(&mut fleet, (number % 3) as usize, &long_id(number));
+        acknowledged += u32::from(is_acknowledged(&fleet, ticket));
+    }
+    let expected = (1 << 20) / 16 / (128 + 5);
+    assert!(
+        (expected..expected + 4).contains(&acknowledged),
+        "{acknowledged} of {expected}"
+    );
+    let call = apply("call-1", vec![service_put("records", 1, Some(service()))]);
+    let ticket = fleet.call(0, call);
+    fleet.run(Duration::from_secs(1));
+    assert!(matches!(
+        fleet.proposal_outcome(ticket),
+        Some(ProposalOutcome::Accepted(_))
+    ));
+    // Later there is space again.
+    fleet.run(DEREGISTRATION_RETENTION);
+    let ticket = send_deregistration(&mut fleet, 0, &long_id(3000));
+    assert!(is_acknowledged(&fleet, ticket));
+}
